--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -6,6 +6,10 @@
   -Wall -Wextra -Wpedantic -Wshadow -Werror
   # Designated initialisers leave the other members at their defaults.
   -Wno-missing-field-initializers)
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
+  # GCC 12 raises false positives for `"literal" + std::to_string(n)` (PR105329).
+  target_compile_options(quetzalshelf_options INTERFACE -Wno-restrict)
+endif()
 
 if(QUETZALSHELF_SANITIZERS)
   target_compile_options(quetzalshelf_options INTERFACE
