--- /dev/null
+++ b/drivers/http/http_connection.h
@@ -0,0 +1,44 @@
+// One HTTP client connection, used by one thread at a time.
+
+#ifndef DRIVERS_HTTP_HTTP_CONNECTION_H_
+#define DRIVERS_HTTP_HTTP_CONNECTION_H_
+
+#include <chrono>
+#include <memory>
+
+#include <absl/status/statusor.h>
+
+#include "drivers/http/http_caller.h"
+#include "drivers/http/http_message.h"
+
+namespace quetzalshelf {
+
+// Blocking. Sends each call at most once and tells whether a failed call can
+// have reached the peer.
+class HttpConnection {
+ public:
+  using Deadline = std::chrono::steady_clock::time_point;
+
+  HttpConnection(const std::string& host, int port);
+  ~HttpConnection();
+
+  // Errors as in HttpCaller::Call.
+  absl::StatusOr<HttpResponse> Send(const HttpCall& call, Deadline deadline);
+  // Whether the connection can serve a further call.
+  bool reusable() const;
+  // Makes a Send on another thread fail soon. Waits while it connects.
+  void Abort();
+
+ private:
+  class Client;
+
+  std::unique_ptr<Client> client_;
+};
+
+// Bytes of the message as sent, without the parts that the library adds.
+size_t WireBytes(const HttpCall& call);
+size_t WireBytes(const HttpResponse& response);
+
+}  // namespace quetzalshelf
+
+#endif  // DRIVERS_HTTP_HTTP_CONNECTION_H_
