Add the platform's services in memory and over HTTP

The memory versions run on a task runner, in real or virtual time, and have faults: down, slow, lost answers and commits that are carried out late.

--- /dev/null
+++ b/drivers/platform/platform_faults.h
@@ -0,0 +1,23 @@
+// Faults that the platform stand-ins can be told to have.
+
+#ifndef DRIVERS_PLATFORM_PLATFORM_FAULTS_H_
+#define DRIVERS_PLATFORM_PLATFORM_FAULTS_H_
+
+#include "core/time.h"
+
+namespace quetzalshelf {
+
+// A service that is down refuses every call; calls that are already delayed
+// are refused as well.
+struct StoreFaults {
+  bool down = false;
+  Duration slow{0};         // Delay before each call takes effect.
+  int lose_answers = 0;     // The next commits or puts take effect, but
+                            // kDeadlineExceeded is answered.
+  int late_commits = 0;     // The next commits answer kDeadlineExceeded at
+  Duration late_by{1'000};  // once and are carried out this much later.
+};
+
+}  // namespace quetzalshelf
+
+#endif  // DRIVERS_PLATFORM_PLATFORM_FAULTS_H_
