--- a/drivers/http/http_server.cc
+++ b/drivers/http/http_server.cc
@@ -199,6 +199,7 @@
     server_.Delete(kAnyPath, with_body);
     server_.Post(kAnyPath, with_body);
     server_.Put(kAnyPath, with_body);
+    server_.Patch(kAnyPath, with_body);
     server_.set_pre_routing_handler(
         [this](const httplib::Request& req, httplib::Response& res) {
           if (req.path.size() <= kMaxPathBytes)
--- a/drivers/platform/memory_vm_list.cc
+++ b/drivers/platform/memory_vm_list.cc
@@ -1,5 +1,6 @@
 #include "drivers/platform/memory_vm_list.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <utility>
@@ -10,7 +11,7 @@
 
 // One change of the list; without `vm`, a removal.
 struct Change {
-  TimePoint time;
+  TimePoint listed_at;
   std::string name;
   std::optional<Vm> vm;
 };
@@ -27,13 +28,15 @@
       present[name] = *vm;
     else
       present.erase(name);
-    changes.push_back({clock.Now(), name, std::move(vm)});
+    TimePoint listed_at = clock.Now() + faults.lag;
+    if (!changes.empty())
+      listed_at = std::max(listed_at, changes.back().listed_at);
+    changes.push_back({listed_at, name, std::move(vm)});
   }
 
-  // Takes over the changes that are older than the lag.
+  // Takes over the changes whose lag has passed.
   void CatchUp() {
-    while (!changes.empty() &&
-           changes.front().time + faults.lag <= clock.Now()) {
+    while (!changes.empty() && changes.front().listed_at <= clock.Now()) {
       const Change& change = changes.front();
       if (change.vm)
         listed[change.name] = *change.vm;
--- a/drivers/platform/memory_vm_list.h
+++ b/drivers/platform/memory_vm_list.h
@@ -15,7 +15,8 @@
 
 namespace quetzalshelf {
 
-// `lag` is the time from a change to its appearance in the list.
+// `lag` is the time from a change to its appearance in the list, for changes
+// made from now on.
 struct VmListFaults {
   bool down = false;
   Duration slow{0};
