--- /dev/null
+++ b/servers/scheduling/guarantee_planner.h
@@ -0,0 +1,78 @@
+// Binds every guaranteed shape to a home: slices of concrete workers in
+// service that satisfy its adjacency. Homes never overlap, so the slices on a
+// worker together never exceed its capacity, and reclaiming one home never
+// needs another.
+
+#ifndef SERVERS_SCHEDULING_GUARANTEE_PLANNER_H_
+#define SERVERS_SCHEDULING_GUARANTEE_PLANNER_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "servers/scheduling/capacity_index.h"
+#include "servers/scheduling/types.h"
+
+namespace quetzalshelf::scheduling {
+
+class GuaranteePlanner {
+ public:
+  struct Home {
+    WorkspaceId workspace;
+    int guarantee = 0;  // Index in Workspace::guarantees.
+    Shape shape;
+    Slots slots;  // Empty when the shape is not held.
+  };
+
+  // Workers are declared once, in the order of their indexes.
+  void AddWorker(WorkerIndex worker, GroupIndex rack, GroupIndex domain);
+  // The capacity that homes may use; negative when the worker is out.
+  void SetCapacity(WorkerIndex worker, const Resources& capacity);
+  // Shapes that stay keep their homes.
+  void SetWorkspaces(const std::vector<Workspace>& workspaces);
+
+  bool dirty() const { return dirty_; }
+  // Rebinds homes that have lost a worker. When some shape finds no home, all
+  // are bound anew and the plan that holds more accelerators is kept.
+  void Plan();
+
+  const std::vector<Home>& homes() const { return homes_; }
+  // What the workspace owns on the worker.
+  Resources SliceOf(const WorkspaceId& workspace, WorkerIndex worker) const;
+  // Sum of all slices on the worker.
+  Resources SlicesOn(WorkerIndex worker) const;
+  // Workers on which the workspace owns a slice.
+  const std::map<WorkerIndex, Resources>& SlicesOf(
+      const WorkspaceId& workspace) const;
+  std::vector<UnheldGuarantee> Unheld() const;
+  GroupIndex rack(WorkerIndex worker) const { return workers_[worker].rack; }
+  GroupIndex domain(WorkerIndex worker) const {
+    return workers_[worker].domain;
+  }
+
+ private:
+  struct WorkerEntry {
+    GroupIndex rack = 0;
+    GroupIndex domain = 0;
+    Resources capacity;
+  };
+  using Slices = std::map<WorkspaceId, std::map<WorkerIndex, Resources>>;
+
+  bool IsValid(const Home& home, CapacityIndex& free) const;
+  CapacityIndex FullIndex() const;
+  static void Take(CapacityIndex& free, const Home& home);
+  static void BindMissing(std::vector<Home>& homes, CapacityIndex& free);
+  static int64_t HeldAccelerators(const std::vector<Home>& homes);
+  void RebuildSlices();
+
+  std::vector<WorkerEntry> workers_;
+  std::vector<Home> homes_;
+  Slices slices_;
+  std::map<WorkerIndex, Resources> slices_on_;
+  bool dirty_ = false;
+};
+
+}  // namespace quetzalshelf::scheduling
+
+#endif  // SERVERS_SCHEDULING_GUARANTEE_PLANNER_H_
