Add ShapeScheduler, the decision core

Joins guarantees as homes, holds, reservations, victim selection, probation and domain exits behind GangScheduler. Job gains last_attempt and checkpointed so that a new owner can continue waiting jobs.

--- a/servers/scheduling/capacity_index.cc
+++ b/servers/scheduling/capacity_index.cc
@@ -38,8 +38,8 @@
     return shape.per_task.accelerators.value() * shape.tasks;
   }
   int TasksOn(WorkerIndex worker, int limit) const {
-    if (!excluded.empty() && std::find(excluded.begin(), excluded.end(),
-                                       worker) != excluded.end())
+    if (!excluded.empty() &&
+        std::find(excluded.begin(), excluded.end(), worker) != excluded.end())
       return 0;
     return TasksIn(index.available(worker), shape.per_task, limit);
   }
@@ -65,6 +65,8 @@
       rack_order_.insert({0, static_cast<GroupIndex>(n)});
   }
   Entry& entry = workers_[worker];
+  Unlist(worker);
+  std::erase(racks_[entry.rack].workers, worker);
   entry.rack = rack;
   entry.domain = domain;
   entry.available = {Accelerators(-1), MilliCores(0), Mebibytes(0)};
--- a/servers/scheduling/capacity_index.h
+++ b/servers/scheduling/capacity_index.h
@@ -38,8 +38,8 @@
 
 class CapacityIndex {
  public:
-  // Declares the next worker, with nothing available. Racks and domains are
-  // dense numbers; a rack belongs to one domain.
+  // Declares a worker, or moves it, with nothing available. Workers, racks and
+  // domains are dense numbers; a rack belongs to one domain.
   void AddWorker(WorkerIndex worker, GroupIndex rack, GroupIndex domain);
   // Nothing can be placed on a worker whose `available` has a negative amount.
   void SetAvailable(WorkerIndex worker, const Resources& available);
--- a/servers/scheduling/charts.h
+++ b/servers/scheduling/charts.h
@@ -90,8 +90,8 @@
     for (const std::string& it : expected)
       names += (names.empty() ? "" : ", ") + it;
     findings.Add({file, 1, std::string(what) + "s"},
-                 "the chart must declare the " + std::string(what) +
-                     "s " + names + ", in this order");
+                 "the chart must declare the " + std::string(what) + "s " +
+                     names + ", in this order");
   }
 
   StateChart chart_;
--- a/servers/scheduling/guarantee_planner.cc
+++ b/servers/scheduling/guarantee_planner.cc
@@ -85,17 +85,16 @@
 }
 
 bool GuaranteePlanner::IsValid(const Home& home, CapacityIndex& free) const {
-  return std::all_of(
-      home.slots.begin(), home.slots.end(), [&](const Slot& it) {
-        return TasksIn(free.available(it.worker), home.shape.per_task,
-                       it.tasks) == it.tasks;
-      });
+  return std::all_of(home.slots.begin(), home.slots.end(), [&](const Slot& it) {
+    return TasksIn(free.available(it.worker), home.shape.per_task, it.tasks) ==
+           it.tasks;
+  });
 }
 
 void GuaranteePlanner::Take(CapacityIndex& free, const Home& home) {
   for (const Slot& it : home.slots) {
-    free.SetAvailable(it.worker, free.available(it.worker) -
-                                     home.shape.per_task * it.tasks);
+    free.SetAvailable(
+        it.worker, free.available(it.worker) - home.shape.per_task * it.tasks);
   }
 }
 
@@ -203,10 +202,10 @@
   }
   std::vector<UnheldGuarantee> result;
   for (const auto& [key, count] : missing) {
-    result.push_back(
-        {key.first, key.second, count,
-         "the workers in service have no room for " + std::to_string(count) +
-             " more of this shape beside the other guarantees"});
+    result.push_back({key.first, key.second, count,
+                      "the workers in service have no room for " +
+                          std::to_string(count) +
+                          " more of this shape beside the other guarantees"});
   }
   return result;
 }
--- /dev/null
+++ b/servers/scheduling/policy.h
@@ -0,0 +1,54 @@
+// Tunable values of the decision core. The measurements behind the defaults
+// are in docs/MEASUREMENTS.md.
+
+#ifndef SERVERS_SCHEDULING_POLICY_H_
+#define SERVERS_SCHEDULING_POLICY_H_
+
+#include <cstddef>
+
+#include "core/time.h"
+
+namespace quetzalshelf::scheduling {
+
+struct Policy {
+  // A gang that waits longer gets a reservation.
+  Duration patience{120'000};
+  // A reservation waits this long for gangs to end by themselves.
+  Duration reservation_drain{20'000};
+  // No reservation stops a gang that was started by one for this long.
+  Duration reservation_quantum{600'000};
+
+  // Time for a checkpoint before a stop. Ticks come about every second and
+  // urgent work has to start within 2.6 s, so little is left for it there.
+  Duration urgent_grace{500};
+  Duration reclaim_grace{10'000};
+  Duration reservation_grace{20'000};
+  Duration domain_grace{20'000};
+
+  Duration checkpoint_interval{120'000};
+  size_t checkpoints_per_tick = 256;
+
+  // Rank of a waiting job, in milliseconds for each accelerator-second of
+  // expected work.
+  double millis_per_work = 500;
+  // Handicap of a workspace that uses its whole weighted share.
+  Duration share_handicap{60'000};
+
+  // Starts per tick in a failure domain that has come back, and for how long.
+  int return_starts_per_tick = 8;
+  Duration return_period{60'000};
+
+  Duration first_backoff{2'000};
+  Duration longest_backoff{120'000};
+
+  // Waiting jobs tried in one pass and alternatives compared for one gang.
+  size_t scan_limit = 1'024;
+  size_t reservation_scan = 64;
+  size_t alternatives = 8;
+  // Ended jobs that are remembered for explanations and repeated events.
+  size_t remembered_jobs = 20'000;
+};
+
+}  // namespace quetzalshelf::scheduling
+
+#endif  // SERVERS_SCHEDULING_POLICY_H_
--- a/servers/scheduling/probation.cc
+++ b/servers/scheduling/probation.cc
@@ -63,7 +63,8 @@
   for (const JobId& job : record->second.failed) {
     const auto it = jobs_.find(job);
     // The evidence of a job that later ended well counts in full.
-    score += it == jobs_.end() ? 1.0 : 1.0 / static_cast<double>(it->second.size());
+    score +=
+        it == jobs_.end() ? 1.0 : 1.0 / static_cast<double>(it->second.size());
   }
   return score;
 }
@@ -81,6 +82,26 @@
   workers_.erase(worker);
 }
 
+void Probation::Parole(WorkerIndex worker) {
+  WorkerRecord& record = workers_[worker];
+  record.failed.clear();
+  record.suspect = false;
+}
+
+Duration Probation::Interval(WorkerIndex worker) const {
+  const auto it = workers_.find(worker);
+  return it == workers_.end() ? Duration(0) : it->second.interval;
+}
+
+std::vector<WorkerIndex> Probation::Suspects() const {
+  std::vector<WorkerIndex> result;
+  for (const auto& [worker, record] : workers_) {
+    if (record.suspect)
+      result.push_back(worker);
+  }
+  return result;
+}
+
 TimePoint Probation::ProbeTime(WorkerIndex worker) const {
   const auto it = workers_.find(worker);
   return it == workers_.end() ? TimePoint() : it->second.probe;
--- a/servers/scheduling/probation.h
+++ b/servers/scheduling/probation.h
@@ -42,7 +42,12 @@
   // failed one.
   void Begin(WorkerIndex worker, TimePoint now);
   void End(WorkerIndex worker);
+  // Ends probation without a probe: the evidence is dropped but the next
+  // probation is longer.
+  void Parole(WorkerIndex worker);
   TimePoint ProbeTime(WorkerIndex worker) const;
+  Duration Interval(WorkerIndex worker) const;
+  std::vector<WorkerIndex> Suspects() const;
 
  private:
   // Evidence kept for one worker; the oldest is dropped.
--- /dev/null
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -0,0 +1,250 @@
+// Workers, failure domains and probation of ShapeScheduler.
+
+#include "servers/scheduling/shape_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzalshelf::scheduling {
+
+namespace {
+
+// A worker for which no probe could be found in this many intervals is used
+// again; two more failures suffice to suspect it once more.
+constexpr int kIntervalsWithoutProbe = 3;
+// Waiting jobs that are considered as a probe.
+constexpr size_t kProbeScan = 64;
+
+}  // namespace
+
+Commands ShapeScheduler::AddWorker(const Worker& worker, TimePoint now) {
+  const WorkerIndex index = ledger_.Intern(worker.id);
+  const ClusterLedger::WorkerEntry& entry = ledger_.worker(index);
+  const bool is_present = entry.state != WorkerState::kUnknown &&
+                          entry.state != WorkerState::kLost &&
+                          entry.state != WorkerState::kLostOnProbation;
+  const Worker& old = entry.info;
+  const bool is_same = old.domain == worker.domain && old.rack == worker.rack &&
+                       old.capacity == worker.capacity;
+  if (is_present && is_same)
+    return {};
+  if (is_present) {
+    LoseGangsOn(index, now);
+    ledger_.FireWorker(index, WorkerEvent::kLose);
+  }
+  if (!is_same)
+    ledger_.Describe(index, worker);
+  ledger_.FireWorker(index, WorkerEvent::kAdd);
+  freed_ = true;
+  return Flush();
+}
+
+Commands ShapeScheduler::WorkerLost(const WorkerId& worker, TimePoint now) {
+  const auto index = ledger_.Find(worker);
+  if (!index || !ledger_.FireWorker(*index, WorkerEvent::kLose))
+    return {};
+  LoseGangsOn(*index, now);
+  Replan(now);
+  AdvanceHolds(now);
+  return Flush();
+}
+
+void ShapeScheduler::LoseGangsOn(WorkerIndex worker, TimePoint now) {
+  const std::vector<JobRecord*> gangs = ledger_.worker(worker).gangs;
+  for (JobRecord* job : gangs) {
+    ledger_.ReleaseOn(*job, worker);
+    StopNow(*job, StopReason::kWorkerLost);
+    if (job->slots.empty())
+      EndAttempt(*job, JobEvent::kLost, now);
+  }
+}
+
+Commands ShapeScheduler::SetDomainInService(const DomainId& domain,
+                                            bool in_service,
+                                            TimePoint now) {
+  const GroupIndex index = ledger_.InternDomain(domain);
+  if (!in_service) {
+    if (ledger_.FireDomain(index, DomainEvent::kLeave)) {
+      LeaveDomain(index, now);
+      Replan(now);
+      AdvanceHolds(now);
+    }
+    return Flush();
+  }
+  if (ledger_.FireDomain(index, DomainEvent::kReturn)) {
+    ledger_.domains()[index].returned = now;
+    ledger_.SetStartsLeft(index, policy_.return_starts_per_tick);
+    freed_ = true;
+    Replan(now);
+  }
+  return Flush();
+}
+
+void ShapeScheduler::LeaveDomain(GroupIndex domain, TimePoint now) {
+  std::vector<JobRecord*> gangs;
+  for (const WorkerIndex worker : ledger_.domain(domain).workers) {
+    for (JobRecord* job : ledger_.worker(worker).gangs)
+      gangs.push_back(job);
+  }
+  std::sort(gangs.begin(), gangs.end());
+  gangs.erase(std::unique(gangs.begin(), gangs.end()), gangs.end());
+  std::sort(gangs.begin(), gangs.end(),
+            [now](const JobRecord* a, const JobRecord* b) {
+              const double a_work = a->WorkAtRisk(now);
+              const double b_work = b->WorkAtRisk(now);
+              if (a_work != b_work)
+                return a_work > b_work;
+              return a->key.sequence < b->key.sequence;
+            });
+  for (JobRecord* job : gangs)
+    RequestStop(*job, StopReason::kDomainOut, policy_.domain_grace, now);
+}
+
+void ShapeScheduler::UpdateDomains(TimePoint now) {
+  for (GroupIndex n = 0; n < ledger_.domains().size(); ++n) {
+    const ClusterLedger::DomainEntry& domain = ledger_.domain(n);
+    if (domain.state != DomainState::kReturning)
+      continue;
+    if (now >= domain.returned + policy_.return_period)
+      ledger_.FireDomain(n, DomainEvent::kSettle);
+    else
+      ledger_.SetStartsLeft(n, policy_.return_starts_per_tick);
+  }
+}
+
+void ShapeScheduler::Suspect(WorkerIndex worker, TimePoint now) {
+  probation_.Begin(worker, now);
+  ledger_.FireWorker(worker, WorkerEvent::kSuspect);
+}
+
+void ShapeScheduler::Clear(WorkerIndex worker) {
+  if (ledger_.FireWorker(worker, WorkerEvent::kClear))
+    freed_ = true;
+}
+
+void ShapeScheduler::JudgeFailure(JobRecord& job,
+                                  WorkerIndex worker,
+                                  TimePoint now) {
+  const bool is_probe = job.probes == worker;
+  if (is_probe)
+    job.probes.reset();
+  if (probation_.RecordFailure(job.job.id, worker) || is_probe)
+    Suspect(worker, now);
+}
+
+void ShapeScheduler::RecordSuccess(JobRecord& job) {
+  job.probes.reset();
+  for (const Slot& it : job.slots) {
+    probation_.RecordSuccess(it.worker);
+    const WorkerState state = ledger_.worker(it.worker).state;
+    if (state != WorkerState::kProbation && state != WorkerState::kProbing)
+      continue;
+    probation_.End(it.worker);
+    Clear(it.worker);
+  }
+}
+
+void ShapeScheduler::RunProbes(TimePoint now) {
+  for (const WorkerIndex worker : probation_.Suspects()) {
+    if (ledger_.worker(worker).state != WorkerState::kProbation ||
+        probation_.ProbeTime(worker) > now)
+      continue;
+    if (TryProbe(worker, now))
+      continue;
+    const Duration waited = now - probation_.ProbeTime(worker);
+    if (waited < probation_.Interval(worker) * kIntervalsWithoutProbe)
+      continue;
+    probation_.Parole(worker);
+    Clear(worker);
+  }
+}
+
+bool ShapeScheduler::TryProbe(WorkerIndex worker, TimePoint now) {
+  const ClusterLedger::WorkerEntry& entry = ledger_.worker(worker);
+  if (ledger_.domain(entry.domain).state == DomainState::kOut)
+    return false;
+  const Resources free = ledger_.Unused(worker) - entry.held;
+  for (JobRecord* job : queue_.First(kProbeScan)) {
+    const Shape& gang = job->job.gang;
+    if (job->hold || job->job.urgency == Urgency::kUrgent ||
+        now < job->not_before || IsOverQuota(*job) ||
+        TasksIn(free, gang.per_task, gang.tasks) < gang.tasks)
+      continue;
+    const auto failed_on = probation_.FailedOn(job->job.id);
+    if (!failed_on.empty())
+      continue;
+    ledger_.FireWorker(worker, WorkerEvent::kProbe);
+    Start(*job, {{worker, gang.tasks}}, false, now);
+    job->probes = worker;
+    return true;
+  }
+  return false;
+}
+
+void ShapeScheduler::Replan(TimePoint now) {
+  if (!ledger_.planner().dirty())
+    return;
+  ledger_.planner().Plan();
+  // Gangs whose slices are gone become borrowers; holds are checked when they
+  // are advanced.
+  std::map<JobRecord*, bool> charged;
+  for (const ClusterLedger::WorkerEntry& worker : ledger_.workers()) {
+    for (JobRecord* job : worker.gangs) {
+      if (job->charged)
+        charged[job] = true;
+    }
+  }
+  std::vector<JobRecord*> order;
+  for (const auto& [job, unused] : charged)
+    order.push_back(job);
+  for (JobRecord* job : holding_) {
+    if (job->hold->kind == HoldKind::kGuarantee)
+      order.push_back(job);
+  }
+  std::sort(order.begin(), order.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  std::vector<std::pair<JobRecord*, Hold>> holds;
+  for (JobRecord* job : order) {
+    if (job->charged) {
+      ledger_.SetCharged(*job, false);
+      continue;
+    }
+    holds.emplace_back(job, *job->hold);
+    DropHold(*job);
+  }
+  for (JobRecord* job : order) {
+    if (job->holds_capacity() && ledger_.FitsInSlices(*job, job->slots))
+      ledger_.SetCharged(*job, true);
+    if (job->holds_capacity())
+      UpdatePin(*job, now);
+    recharge_.insert(job->job.workspace);
+  }
+  for (auto& [job, hold] : holds) {
+    if (!ledger_.FitsInSlices(*job, hold.slots))
+      continue;
+    ledger_.AddHold(*job, std::move(hold));
+    holding_.push_back(job);
+  }
+}
+
+void ShapeScheduler::Recharge() {
+  if (recharge_.empty())
+    return;
+  for (const WorkspaceId& workspace : recharge_) {
+    for (const auto& [worker, slice] : ledger_.planner().SlicesOf(workspace)) {
+      const std::vector<JobRecord*> gangs = ledger_.worker(worker).gangs;
+      for (JobRecord* job : gangs) {
+        if (job->job.workspace != workspace || job->charged || job->releasing ||
+            !ledger_.FitsInSlices(*job, job->slots))
+          continue;
+        ledger_.SetCharged(*job, true);
+        ledger_.SetPinned(*job, true);
+      }
+    }
+  }
+  recharge_.clear();
+}
+
+}  // namespace quetzalshelf::scheduling
--- a/servers/scheduling/types.h
+++ b/servers/scheduling/types.h
@@ -54,7 +54,9 @@
 struct Job {
   JobId id;
   WorkspaceId workspace;
-  std::string kind;  // For measures only, never for decisions.
+  // A label for measures. Learned run times are kept by workspace and kind, so
+  // it may affect the order of waiting jobs, but never a promise.
+  std::string kind;
   Shape gang;
   Urgency urgency = Urgency::kNormal;
   Duration declared_run_time{0};  // A hint that may be wrong; 0 is unknown.
@@ -62,6 +64,10 @@
   // When a stop comes without a new checkpoint, the work since the last one is
   // lost.
   int max_failures = 3;  // The job fails after that many failed attempts.
+  // What is known from before this submission, when an owner rebuilds its
+  // state: the next start uses the attempt after this one.
+  Attempt last_attempt;
+  Duration checkpointed{0};
 };
 
 // Which worker runs a task of a gang; the index in the vector is the task's.
--- a/servers/scheduling/victim_selector.cc
+++ b/servers/scheduling/victim_selector.cc
@@ -24,8 +24,8 @@
     if (found == deficits.end())
       continue;
     const Resources& lacks = found->second;
-    sum += static_cast<double>(Useful(it.resources.accelerators.value(),
-                                      lacks.accelerators.value()));
+    sum += static_cast<double>(
+        Useful(it.resources.accelerators.value(), lacks.accelerators.value()));
     sum += static_cast<double>(
                Useful(it.resources.cpu.value(), lacks.cpu.value())) /
            8'000;
