--- a/servers/cluster/committer.cc
+++ b/servers/cluster/committer.cc
@@ -125,6 +125,10 @@
     Settle(id, CommitOutcome::kNotWritten, std::string(status.message()));
     return;
   }
+  if (absl::IsInvalidArgument(status) && !open.doubtful) {
+    Settle(id, CommitOutcome::kInvalid, std::string(status.message()));
+    return;
+  }
   if (!absl::IsUnavailable(status)) {
     ++counters_.unknown;
     open.doubtful = true;
--- a/servers/cluster/committer.h
+++ b/servers/cluster/committer.h
@@ -23,7 +23,7 @@
   kNotWritten,   // The store refused; nothing was or will be written.
   kOverwritten,  // Another writer has replaced the row; this transaction may
                  // have taken effect before that.
-  kInvalid,      // No condition on a row that the transaction writes.
+  kInvalid,      // Malformed, or without a condition on a row that it writes.
 };
 
 const char* ToString(CommitOutcome outcome);
--- a/servers/jobs/gang_recovery.cc
+++ b/servers/jobs/gang_recovery.cc
@@ -42,7 +42,8 @@
   return run.phase() == GangRun::Phase::kRecovering && run.AllTasksRun() &&
          std::all_of(placement.begin(), placement.end(),
                      [&](const WorkerId& worker) {
-                       return deps_.pool.HeldAtStart(run.key(), worker);
+                       return deps_.pool.HeldAtStart(run.key(), worker) &&
+                              !deps_.pool.HasStrays(worker);
                      });
 }
 
