--- a/servers/jobs/gang_executor.cc
+++ b/servers/jobs/gang_executor.cc
@@ -40,6 +40,7 @@
 void GangExecutor::Tick(TimePoint now) {
   ended_.clear();
   std::vector<JobId> jobs;
+  jobs.reserve(runs_.size());
   for (const auto& [job, attempted] : runs_)
     jobs.push_back(job);
   for (const JobId& job : jobs) {
@@ -199,6 +200,7 @@
 void GangExecutor::OnWorkerDown(const WorkerId& worker, TimePoint now) {
   Apply(deps_.scheduler.WorkerLost(worker, now), now);
   std::vector<JobId> jobs;
+  jobs.reserve(runs_.size());
   for (const auto& [job, attempted] : runs_) {
     if (attempted.run->HasWorker(worker))
       jobs.push_back(job);
--- a/servers/jobs/job_record.cc
+++ b/servers/jobs/job_record.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
-constexpr size_t kMaxPayload = 64 * 1024;
+constexpr size_t kMaxPayload = 65'536;  // Bytes.
 
 template <typename Enum>
 struct Name {
--- a/servers/jobs/job_rows.cc
+++ b/servers/jobs/job_rows.cc
@@ -27,7 +27,7 @@
   LoadPage("", std::move(done));
 }
 
-void JobRows::LoadPage(std::string after,
+void JobRows::LoadPage(const std::string& after,
                        std::function<void(absl::Status)> done) {
   table_.ReadPrefix(
       JobPrefix(ownership_.region()), after, options_.page_rows,
@@ -145,11 +145,12 @@
     queued_inserts_.erase(
         queued_inserts_.begin(),
         queued_inserts_.begin() + static_cast<std::ptrdiff_t>(n));
-    SendInserts(std::move(inserts));
+    SendInserts(inserts);
   }
 }
 
-void JobRows::SendInserts(std::shared_ptr<std::vector<InsertOp>> inserts) {
+void JobRows::SendInserts(
+    const std::shared_ptr<std::vector<InsertOp>>& inserts) {
   const Condition fence = ownership_.Fence();
   std::vector<Condition> conditions{fence};
   std::vector<Write> writes;
@@ -171,11 +172,6 @@
       });
 }
 
-bool JobRows::FenceMoved(RowVersion fence, const CommitResult& result) const {
-  return result.outcome == CommitOutcome::kConflict &&
-         ownership_.Fence().version != fence;
-}
-
 void JobRows::OnInserted(std::vector<InsertOp>& inserts,
                          RowVersion fence,
                          const CommitResult& result) {
@@ -184,9 +180,8 @@
     on_fenced_();
     return;
   }
-  const bool conflict = result.outcome == CommitOutcome::kConflict;
-  const bool again =
-      FenceMoved(fence, result) || (conflict && inserts.size() > 1);
+  // A renewal of the lease that is not answered yet looks like a conflict, too.
+  const bool again = result.outcome == CommitOutcome::kConflict;
   for (InsertOp& op : inserts) {
     if (result.outcome == CommitOutcome::kCommitted) {
       const JobId job = op.record.spec.job.id;
@@ -195,8 +190,8 @@
       // finds out.
       entries_[job].version = RowVersion(1);
       op.done(Outcome::kCommitted);
-    } else if (again && ++op.tries < options_.max_fence_retries) {
-      op.alone = conflict && !FenceMoved(fence, result);
+    } else if (again && ++op.tries < options_.max_conflict_retries) {
+      op.alone = ownership_.Fence().version == fence;
       queued_inserts_.push_back(std::move(op));
     } else {
       op.done(Outcome::kNotWritten);
@@ -288,14 +283,13 @@
     return;
   }
   const bool committed = result.outcome == CommitOutcome::kCommitted;
-  const bool fence_moved = FenceMoved(fence, result);
-  const bool refresh =
-      result.outcome == CommitOutcome::kConflict && !fence_moved;
+  const bool conflict = result.outcome == CommitOutcome::kConflict;
+  const bool refresh = conflict && ownership_.Fence().version == fence;
   for (BatchItem& item : batch) {
     Entry& entry = entries_.at(item.job);
     entry.in_flight = false;
     if (!committed) {
-      ReturnOps(item, fence_moved);
+      ReturnOps(item, conflict);
       if (refresh)
         RefreshVersion(item.job);
       continue;
@@ -310,11 +304,11 @@
 }
 
 // Puts operations that may be tried again back in front of later ones.
-void JobRows::ReturnOps(BatchItem& item, bool fence_moved) {
+void JobRows::ReturnOps(BatchItem& item, bool conflict) {
   std::vector<Done> refused;
   for (auto it = item.ops.rbegin(); it != item.ops.rend(); ++it) {
     const bool again =
-        !it->once || (fence_moved && ++it->tries < options_.max_fence_retries);
+        !it->once || (conflict && ++it->tries < options_.max_conflict_retries);
     if (again) {
       entries_.at(item.job).ops.push_front(std::move(*it));
       dirty_.insert(item.job);
--- a/servers/jobs/job_rows.h
+++ b/servers/jobs/job_rows.h
@@ -24,8 +24,9 @@
 struct JobRowsOptions {
   int page_rows = 500;   // Rows of one read during recovery.
   int batch_rows = 100;  // Rows of one transaction.
-  // Tries of a write that failed because the lease was renewed meanwhile.
-  int max_fence_retries = 3;
+  // Tries of a write that failed a condition, mostly because the lease was
+  // renewed meanwhile.
+  int max_conflict_retries = 3;
 };
 
 // Every write is conditional on the shard row and on the row itself, so that
@@ -106,10 +107,11 @@
   };
   using Batch = std::shared_ptr<std::vector<BatchItem>>;
 
-  void LoadPage(std::string after, std::function<void(absl::Status)> done);
+  void LoadPage(const std::string& after,
+                std::function<void(absl::Status)> done);
   absl::Status TakePage(const std::vector<Row>& rows);
   void FlushInserts();
-  void SendInserts(std::shared_ptr<std::vector<InsertOp>> inserts);
+  void SendInserts(const std::shared_ptr<std::vector<InsertOp>>& inserts);
   void OnInserted(std::vector<InsertOp>& inserts,
                   RowVersion fence,
                   const cluster::CommitResult& result);
@@ -119,11 +121,10 @@
   void OnUpdated(std::vector<BatchItem>& batch,
                  RowVersion fence,
                  const cluster::CommitResult& result);
-  void ReturnOps(BatchItem& item, bool fence_moved);
+  void ReturnOps(BatchItem& item, bool conflict);
   void RefreshVersion(const JobId& job);
   void FlushErasures();
   void RefuseUnsent();
-  bool FenceMoved(RowVersion fence, const cluster::CommitResult& result) const;
 
   Table& table_;
   cluster::Committer& committer_;
--- a/servers/jobs/result_publisher.cc
+++ b/servers/jobs/result_publisher.cc
@@ -26,7 +26,7 @@
       retry_(retry),
       on_settled_(std::move(on_settled)) {}
 
-void ResultPublisher::Publish(PublishedResult result, TimePoint now) {
+void ResultPublisher::Publish(const PublishedResult& result, TimePoint now) {
   const JobId job = result.job;
   pending_[job] = {.attempt = result.attempt, .content = EncodeResult(result)};
   Put(job, now);
--- a/servers/jobs/result_publisher.h
+++ b/servers/jobs/result_publisher.h
@@ -39,7 +39,7 @@
                   Duration retry,
                   Done on_settled);
 
-  void Publish(PublishedResult result, TimePoint now);
+  void Publish(const PublishedResult& result, TimePoint now);
   // Stores again what could not be stored.
   void Tick(TimePoint now);
 
