--- a/core/platform/peer_port.h
+++ b/core/platform/peer_port.h
@@ -10,6 +10,7 @@
 #include <absl/status/statusor.h>
 
 #include "core/ids.h"
+#include "core/time.h"
 
 namespace quetzalshelf {
 
@@ -38,9 +39,11 @@
 // A call forwarded to another node's HTTP interface.
 struct ForwardedCall {
   std::string method;
-  std::string path;
+  std::string path;  // With the query, percent-encoded as received.
   std::string body;
   std::string authorization;
+  std::vector<NodeId> forwarded_by;  // Nodes that forwarded the call so far.
+  Duration timeout{0};               // 0 takes the port's default.
 };
 
 struct ForwardedReply {
--- a/drivers/http/http_message.h
+++ b/drivers/http/http_message.h
@@ -25,6 +25,7 @@
 struct HttpRequest {
   std::string method;
   std::string path;
+  std::string target;  // Path and query as received, percent-encoded.
   HttpFields headers;
   HttpFields query;
   HttpFields params;  // Path parameters of the route.
--- a/drivers/http/http_server.cc
+++ b/drivers/http/http_server.cc
@@ -257,6 +257,7 @@
     HttpRequest request;
     request.method = req.method == "HEAD" ? "GET" : req.method;
     request.path = req.path;
+    request.target = req.target;
     request.headers = CopyHeaders(req.headers);
     request.query = CopyFields(req.params);
     request.body = std::move(body);
--- a/standins/common/standin_process.cc
+++ b/standins/common/standin_process.cc
@@ -43,6 +43,10 @@
   app_.add_option("--connections", options_.connection_limit,
                   "Connections served at once")
       ->check(CLI::Range(1, 4'096));
+  app_.add_option("--grace-ms", grace_ms_,
+                  "Time from SIGTERM to the end of listening, in which callers "
+                  "learn that the server is leaving")
+      ->check(CLI::NonNegativeNumber);
   app_.add_option("--log-format", log_format_, "text or json")
       ->check(CLI::IsMember({"text", "json"}));
   app_.add_option("--log-level", log_level_, "Least level of the log lines")
@@ -84,7 +88,8 @@
     LOG(INFO) << "stopping; requests in flight finish first";
     if (hooks.leaving)
       hooks.leaving();
-    server.Stop([this] { io_.stop(); });
+    runner_.PostAfter(Duration(grace_ms_),
+                      [this, &server] { server.Stop([this] { io_.stop(); }); });
   });
   std::printf("ready %s:%d\n", options_.host.c_str(), server.port());
   std::fflush(stdout);
--- a/standins/common/standin_process.h
+++ b/standins/common/standin_process.h
@@ -3,6 +3,7 @@
 #ifndef STANDINS_COMMON_STANDIN_PROCESS_H_
 #define STANDINS_COMMON_STANDIN_PROCESS_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -47,6 +48,7 @@
   const std::string name_;
   CLI::App app_;
   HttpServerOptions options_;
+  int64_t grace_ms_ = 0;
   std::string log_format_ = "text";
   std::string log_level_ = "info";
   asio::io_context io_;
--- a/standins/worker/main.cc
+++ b/standins/worker/main.cc
@@ -1,4 +1,5 @@
 #include <cstdlib>
+#include <memory>
 #include <random>
 #include <string>
 
@@ -74,7 +75,7 @@
     service->Install(server);
     return absl::OkStatus();
   };
-  return process.Run(argc, argv, {set_up, nullptr});
+  return process.Run(argc, argv, {set_up, [&] { service->Leave(); }});
 }
 
 }  // namespace
--- a/standins/worker/worker_service.h
+++ b/standins/worker/worker_service.h
@@ -23,6 +23,8 @@
 
   // The service must outlive the server's use of the handlers.
   void Install(HttpServer& server);
+  // Drops commands held by a pause, so that they do not hold up the stop.
+  void Leave() { waiting_.clear(); }
 
  private:
   // Runs `work` now, or when the worker answers again.
