--- a/drivers/http/http_caller.h
+++ b/drivers/http/http_caller.h
@@ -30,7 +30,8 @@
   HttpFields headers;
   std::string body;
   std::string content_type = "application/json";
-  Duration timeout{2'000};  // From Call to the callback.
+  // From Call to the callback. Connecting may take three quarters of it.
+  Duration timeout{2'000};
   ConnectionUse connection = ConnectionUse::kPooled;
   size_t max_reply_bytes = size_t{16} << 20;
 };
--- a/drivers/http/http_connection.cc
+++ b/drivers/http/http_connection.cc
@@ -11,6 +11,10 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
+// The library rounds time-outs down, so that a read could end just before the
+// deadline and look like a failure of the peer.
+constexpr std::chrono::milliseconds kIoSlack{100};
+
 std::chrono::microseconds Remaining(HttpConnection::Deadline deadline) {
   const auto left = std::chrono::duration_cast<std::chrono::microseconds>(
       deadline - SteadyClock::now());
@@ -61,7 +65,9 @@
   void Begin(Deadline deadline) {
     deadline_ = deadline;
     connect_failed_ = false;
-    set_connection_timeout(Remaining(deadline));
+    // A connect that ends well before the deadline proves that nothing was
+    // sent; at the deadline the outcome would be reported as open.
+    set_connection_timeout(Remaining(deadline) * 3 / 4);
     LimitIo();
   }
   bool connect_failed() const { return connect_failed_; }
@@ -77,8 +83,8 @@
 
  private:
   void LimitIo() {
-    set_read_timeout(Remaining(deadline_));
-    set_write_timeout(Remaining(deadline_));
+    set_read_timeout(Remaining(deadline_) + kIoSlack);
+    set_write_timeout(Remaining(deadline_) + kIoSlack);
   }
 
   Deadline deadline_;
