--- a/tests/scheduling/simulation.cc
+++ b/tests/scheduling/simulation.cc
@@ -76,6 +76,12 @@
   if (!lost_.insert(id).second)
     return;
   used_[id] = {};
+  for (auto& [job_id, job] : jobs_) {
+    // A gang that was stopping ends with its last task.
+    if (std::erase(job.placement, id) > 0 && job.placement.empty() &&
+        job.state == SimulatedJob::State::kStopping)
+      job.state = AfterStop(job);
+  }
   Carry(scheduler_.WorkerLost(id, now_));
 }
 
@@ -135,6 +141,11 @@
   return holds ? &it->second : nullptr;
 }
 
+SimulatedJob::State Simulation::AfterStop(const SimulatedJob& job) {
+  return job.cancelled ? SimulatedJob::State::kCancelled
+                       : SimulatedJob::State::kWaiting;
+}
+
 Duration Simulation::Progress(const SimulatedJob& job) const {
   return job.base + (now_ - job.started);
 }
@@ -248,12 +259,8 @@
   SimulatedJob* job = Attempted(command.job, command.attempt);
   if (job == nullptr)
     return;
-  // Tasks on a lost worker are gone already.
-  std::erase_if(job->placement,
-                [this](const WorkerId& it) { return lost_.contains(it); });
   if (job->placement.empty()) {
-    job->state = job->cancelled ? SimulatedJob::State::kCancelled
-                                : SimulatedJob::State::kWaiting;
+    job->state = AfterStop(*job);
     return;
   }
   job->state = SimulatedJob::State::kStopping;
@@ -262,8 +269,7 @@
     if (stopped == nullptr)
       return;
     Free(*stopped);
-    stopped->state = stopped->cancelled ? SimulatedJob::State::kCancelled
-                                        : SimulatedJob::State::kWaiting;
+    stopped->state = AfterStop(*stopped);
     Carry(scheduler_.GangStopped(id, attempt, now_));
   });
 }
--- a/tests/scheduling/simulation.h
+++ b/tests/scheduling/simulation.h
@@ -89,6 +89,7 @@
   void On(const RefuseJob& command);
   void On(const ThrottleGang& command);
   SimulatedJob* Attempted(const JobId& id, Attempt attempt);
+  static SimulatedJob::State AfterStop(const SimulatedJob& job);
   void Free(SimulatedJob& job);
   void CheckPlacement(const SimulatedJob& job);
   void Fault(const std::string& text) { faults_.push_back(text); }
