--- /dev/null
+++ b/bench/guarantee_book.h
@@ -0,0 +1,71 @@
+// What the guarantees of one workspace still cover, by shapes alone and
+// without regard to where any scheduler holds them.
+
+#ifndef BENCH_GUARANTEE_BOOK_H_
+#define BENCH_GUARANTEE_BOOK_H_
+
+#include <map>
+#include <vector>
+
+#include "core/ids.h"
+#include "servers/scheduling/types.h"
+
+namespace quetzalshelf::bench {
+
+// Part of a guaranteed shape that tasks occupy.
+struct GuaranteeUse {
+  size_t block = 0;
+  size_t slice = 0;
+  int tasks = 0;
+};
+
+// One guaranteed shape as slices, one per task of the shape.
+struct GuaranteeBlock {
+  scheduling::Adjacency adjacency = scheduling::Adjacency::kRegion;
+  Resources per_slice;
+  std::vector<Resources> free;
+
+  int64_t FreeAccelerators() const;
+};
+
+class GuaranteeBook {
+ public:
+  GuaranteeBook() = default;
+  explicit GuaranteeBook(const scheduling::Workspace& workspace);
+
+  // Whether the gang fits in what no guaranteed gang of the workspace uses.
+  bool Covers(const scheduling::Shape& gang) const;
+  // Charges a running gang to the tightest part that holds it. A gang that the
+  // guarantees do not cover is not charged.
+  void Charge(const JobId& job, const scheduling::Shape& gang);
+  void Release(const JobId& job);
+
+  const std::vector<GuaranteeBlock>& blocks() const { return blocks_; }
+
+ private:
+  struct Charged {
+    Resources per_task;
+    std::vector<GuaranteeUse> uses;
+  };
+
+  std::vector<GuaranteeUse> Find(const scheduling::Shape& gang) const;
+  std::vector<GuaranteeUse> FindInBlock(size_t block,
+                                        const scheduling::Shape& gang) const;
+  std::vector<GuaranteeUse> FindAcross(const scheduling::Shape& gang) const;
+
+  std::vector<GuaranteeBlock> blocks_;
+  std::map<JobId, Charged> charged_;
+};
+
+// Whether empty space on the workers holds all free slices of the blocks, each
+// block with its adjacency. Greedy, largest first: true is proven, false may
+// be wrong. `workers` carry the space as their capacity.
+bool CanHold(std::vector<GuaranteeBlock> blocks,
+             std::vector<scheduling::Worker> workers);
+
+// Tasks of a size that fit in `free`.
+int TasksIn(const Resources& per_task, const Resources& free);
+
+}  // namespace quetzalshelf::bench
+
+#endif  // BENCH_GUARANTEE_BOOK_H_
--- /dev/null
+++ b/bench/oracle.cc
@@ -0,0 +1,528 @@
+#include "bench/oracle.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace quetzalshelf::bench {
+namespace {
+
+using scheduling::Adjacency;
+using scheduling::Placement;
+using scheduling::RefusalReason;
+using scheduling::StartGang;
+using scheduling::Worker;
+
+constexpr size_t kMaxFindings = 20;
+// A job that fails on one worker only may be the victim of that worker.
+constexpr size_t kMinWorkersToFailJob = 2;
+
+Accelerators Total(const scheduling::Job& job) {
+  return job.gang.per_task.accelerators * job.gang.tasks;
+}
+
+std::string Name(const JobId& job, Attempt attempt) {
+  return job.value() + " attempt " + std::to_string(attempt.value());
+}
+
+}  // namespace
+
+int64_t FaultCounts::Total() const {
+  return guarantee_violations + partial_gangs + starts_in_out_domain +
+         duplicate_runs + lost_jobs;
+}
+
+FaultCounts& FaultCounts::operator+=(const FaultCounts& other) {
+  guarantee_violations += other.guarantee_violations;
+  partial_gangs += other.partial_gangs;
+  starts_in_out_domain += other.starts_in_out_domain;
+  duplicate_runs += other.duplicate_runs;
+  lost_jobs += other.lost_jobs;
+  return *this;
+}
+
+Oracle::Oracle(const std::vector<scheduling::Workspace>& workspaces,
+               const OracleLimits& limits)
+    : limits_(limits) {
+  for (const scheduling::Workspace& it : workspaces) {
+    WorkspaceState& state = workspaces_[it.id];
+    state.workspace = it;
+    state.book = GuaranteeBook(it);
+  }
+}
+
+void Oracle::WorkerUp(const Worker& worker, TimePoint /*now*/) {
+  WorkerState& state = workers_[worker.id];
+  const bool bad = state.bad;
+  state = {worker, true, bad};
+}
+
+void Oracle::WorkerDown(const WorkerId& worker, TimePoint now) {
+  const auto found = workers_.find(worker);
+  if (found == workers_.end() || !found->second.up) {
+    return;
+  }
+  found->second.up = false;
+  for (const JobId& id : held_) {
+    JobState& state = jobs_.at(id);
+    Placement& placement = state.placement;
+    if (std::find(placement.begin(), placement.end(), worker) ==
+        placement.end()) {
+      continue;
+    }
+    std::replace(placement.begin(), placement.end(), worker, WorkerId());
+    if (state.phase != Phase::kStopping && !state.incomplete) {
+      state.incomplete = true;
+      state.incomplete_since = now;
+    }
+  }
+  RestartClocks(now);
+}
+
+void Oracle::WorkerBad(const WorkerId& worker, bool bad, TimePoint now) {
+  workers_[worker].bad = bad;
+  if (bad) {
+    RestartClocks(now);
+  }
+}
+
+void Oracle::DomainInService(const DomainId& domain, bool in, TimePoint now) {
+  if (in) {
+    out_domains_.erase(domain);
+  } else {
+    out_domains_.try_emplace(domain, now);
+    RestartClocks(now);
+  }
+}
+
+void Oracle::Submitted(const scheduling::Job& job,
+                       bool runnable,
+                       TimePoint now) {
+  JobState& state = jobs_[job.id];
+  state.job = job;
+  state.runnable = runnable;
+  Wait(state, now);
+}
+
+void Oracle::Cancelled(const JobId& job, TimePoint /*now*/) {
+  if (const auto it = jobs_.find(job); it != jobs_.end()) {
+    Close(it->second);
+  }
+}
+
+void Oracle::Commanded(const scheduling::Command& command, TimePoint now) {
+  if (const auto* start = std::get_if<StartGang>(&command)) {
+    OnStart(*start, now);
+  } else if (const auto* stop = std::get_if<scheduling::StopGang>(&command)) {
+    OnStop(*stop);
+  } else if (const auto* refuse =
+                 std::get_if<scheduling::RefuseJob>(&command)) {
+    OnRefuse(*refuse, now);
+  }
+}
+
+void Oracle::Started(const JobId& job, Attempt attempt, TimePoint now) {
+  JobState* state = FindHeld(job, attempt);
+  if (state == nullptr || state->phase != Phase::kStarting) {
+    return;
+  }
+  CheckDomains(*state, now, limits_.domain_out_limit);
+  CountViolation(*state, now);
+  state->phase = Phase::kRunning;
+  workspaces_[state->job.workspace].not_started.erase(job);
+}
+
+void Oracle::StartFailed(const JobId& job, Attempt attempt, TimePoint now) {
+  if (JobState* state = FindHeld(job, attempt)) {
+    EndAttempt(*state, now);
+  }
+}
+
+void Oracle::Finished(const JobId& job, Attempt attempt, TimePoint /*now*/) {
+  if (JobState* state = FindHeld(job, attempt)) {
+    Release(*state);
+    state->closed = true;
+    state->phase = Phase::kEnded;
+  }
+}
+
+void Oracle::TaskFailed(const JobId& job,
+                        Attempt attempt,
+                        const WorkerId& worker,
+                        TimePoint now) {
+  JobState* state = FindHeld(job, attempt);
+  if (state == nullptr) {
+    return;
+  }
+  ++state->failures;
+  state->failed_on.insert(worker);
+  if (state->phase != Phase::kStopping && !state->incomplete) {
+    state->incomplete = true;
+    state->incomplete_since = now;
+  }
+}
+
+void Oracle::Stopped(const JobId& job, Attempt attempt, TimePoint now) {
+  if (JobState* state = FindHeld(job, attempt)) {
+    EndAttempt(*state, now);
+  }
+}
+
+void Oracle::Check(TimePoint now) {
+  CheckIncomplete(now);
+  for (auto& [id, workspace] : workspaces_) {
+    CheckGuarantees(workspace, now);
+  }
+}
+
+void Oracle::End(TimePoint now) {
+  for (const auto& [id, state] : jobs_) {
+    const bool ended = state.phase == Phase::kEnded;
+    if (!ended) {
+      Report(counts_.lost_jobs, now, id.value() + " has no outcome");
+    }
+  }
+}
+
+void Oracle::OnStart(const StartGang& start, TimePoint now) {
+  const auto found = jobs_.find(start.job);
+  if (found == jobs_.end()) {
+    Report(counts_.duplicate_runs, now,
+           start.job.value() + " started but never submitted");
+    return;
+  }
+  JobState& state = found->second;
+  CheckMayStart(state, start, now);
+  if (state.phase != Phase::kWaiting) {
+    return;
+  }
+  Hold(state, start);
+  CheckPlacement(state, start, now);
+  CheckDomains(state, now, Duration(0));
+}
+
+void Oracle::CheckMayStart(JobState& state,
+                           const StartGang& start,
+                           TimePoint now) {
+  const bool held = held_.contains(start.job);
+  if (held && AllGone(state)) {
+    // Nothing of the earlier attempt is left to stop.
+    EndAttempt(state, now);
+  }
+  if (state.phase != Phase::kWaiting || start.attempt <= state.attempt) {
+    Report(counts_.duplicate_runs, now,
+           Name(start.job, start.attempt) +
+               (state.closed ? " started after the job had ended"
+                             : " started while another attempt is held"));
+  }
+}
+
+void Oracle::OnStop(const scheduling::StopGang& stop) {
+  JobState* state = FindHeld(stop.job, stop.attempt);
+  if (state == nullptr) {
+    return;
+  }
+  state->phase = Phase::kStopping;
+  state->incomplete = false;
+  workspaces_[state->job.workspace].not_started.erase(stop.job);
+}
+
+void Oracle::OnRefuse(const scheduling::RefuseJob& refuse, TimePoint now) {
+  const auto found = jobs_.find(refuse.job);
+  if (found == jobs_.end() || found->second.closed) {
+    return;
+  }
+  if (WrongRefusal(found->second, refuse.reason)) {
+    Report(counts_.lost_jobs, now,
+           refuse.job.value() + " refused: " + refuse.detail);
+  }
+  Close(found->second);
+}
+
+bool Oracle::WrongRefusal(const JobState& state, RefusalReason reason) const {
+  const WorkspaceState& workspace = workspaces_.at(state.job.workspace);
+  const scheduling::Workspace& limits = workspace.workspace;
+  if (!state.runnable) {
+    return false;
+  }
+  switch (reason) {
+    case RefusalReason::kOverQuota:
+      return limits.quota.value() == 0 || Total(state.job) <= limits.quota;
+    case RefusalReason::kQueueFull:
+      // The queue of the oracle includes the job itself.
+      return workspace.queue.size() <=
+             static_cast<size_t>(limits.max_queued_jobs);
+    case RefusalReason::kTooManyFailures:
+      return state.failures < state.job.max_failures ||
+             state.failed_on.size() < kMinWorkersToFailJob;
+    default:
+      return true;
+  }
+}
+
+void Oracle::CheckPlacement(const JobState& state,
+                            const StartGang& start,
+                            TimePoint now) {
+  const std::string name = Name(start.job, start.attempt);
+  if (start.placement.size() != static_cast<size_t>(state.job.gang.tasks)) {
+    Report(counts_.partial_gangs, now,
+           name + " started with " + std::to_string(start.placement.size()) +
+               " of " + std::to_string(state.job.gang.tasks) + " tasks");
+    return;
+  }
+  for (const WorkerId& it : start.placement) {
+    const auto found = workers_.find(it);
+    if (found == workers_.end() || !found->second.up) {
+      Report(counts_.partial_gangs, now,
+             name + " started on " + it.value() + ", which is not there");
+      return;
+    }
+  }
+  if (!Adjacent(state, start.placement)) {
+    Report(counts_.partial_gangs, now, name + " is not adjacent");
+  }
+  CheckCapacity(state, now);
+}
+
+void Oracle::CheckCapacity(const JobState& state, TimePoint now) {
+  for (const WorkerId& it : state.placement) {
+    const WorkerState& worker = workers_[it];
+    if (!worker.used.FitsIn(worker.worker.capacity)) {
+      Report(
+          counts_.partial_gangs, now,
+          Name(state.job.id, state.attempt) + " does not fit on " + it.value());
+      return;
+    }
+  }
+}
+
+bool Oracle::Adjacent(const JobState& state, const Placement& placement) const {
+  const Adjacency adjacency = state.job.gang.adjacency;
+  const Worker& first = workers_.at(placement.front()).worker;
+  return std::all_of(
+      placement.begin(), placement.end(), [&](const WorkerId& id) {
+        const Worker& it = workers_.at(id).worker;
+        const bool domain = it.domain == first.domain;
+        const bool rack = domain && it.rack == first.rack;
+        return adjacency == Adjacency::kRegion ||
+               (adjacency == Adjacency::kDomain && domain) ||
+               (adjacency == Adjacency::kRack && rack) || it.id == first.id;
+      });
+}
+
+void Oracle::CheckDomains(const JobState& state,
+                          TimePoint now,
+                          Duration limit) {
+  for (const WorkerId& it : state.placement) {
+    const auto worker = workers_.find(it);
+    if (worker == workers_.end()) {
+      continue;
+    }
+    const auto out = out_domains_.find(worker->second.worker.domain);
+    // A command given at the time of the exit follows it, because the
+    // scheduler was told first.
+    const bool late = out != out_domains_.end() &&
+                      (limit == Duration(0) || now > out->second + limit);
+    if (late) {
+      Report(counts_.starts_in_out_domain, now,
+             Name(state.job.id, state.attempt) + " on " + it.value());
+      return;
+    }
+  }
+}
+
+void Oracle::Hold(JobState& state, const StartGang& start) {
+  WorkspaceState& workspace = workspaces_[state.job.workspace];
+  state.phase = Phase::kStarting;
+  state.attempt = start.attempt;
+  state.placement = start.placement;
+  state.incomplete = false;
+  state.guaranteed = start.guaranteed;
+  held_.insert(start.job);
+  workspace.queue.erase(start.job);
+  workspace.used += Total(state.job);
+  workspace.changed = true;
+  for (const WorkerId& it : state.placement) {
+    WorkerState& worker = workers_[it];
+    worker.used += state.job.gang.per_task;
+    if (start.guaranteed) {
+      worker.guaranteed_used += state.job.gang.per_task;
+    }
+  }
+  if (start.guaranteed) {
+    workspace.book.Charge(start.job, state.job.gang);
+  }
+}
+
+void Oracle::Release(JobState& state) {
+  WorkspaceState& workspace = workspaces_[state.job.workspace];
+  for (const WorkerId& it : state.placement) {
+    if (it.empty()) {
+      continue;
+    }
+    WorkerState& worker = workers_[it];
+    worker.used -= state.job.gang.per_task;
+    if (state.guaranteed) {
+      worker.guaranteed_used -= state.job.gang.per_task;
+    }
+  }
+  state.placement.clear();
+  state.incomplete = false;
+  held_.erase(state.job.id);
+  workspace.not_started.erase(state.job.id);
+  workspace.used -= Total(state.job);
+  workspace.book.Release(state.job.id);
+  workspace.changed = true;
+}
+
+void Oracle::EndAttempt(JobState& state, TimePoint now) {
+  Release(state);
+  if (state.closed) {
+    state.phase = Phase::kEnded;
+  } else {
+    Wait(state, now);
+  }
+}
+
+void Oracle::Wait(JobState& state, TimePoint now) {
+  WorkspaceState& workspace = workspaces_[state.job.workspace];
+  state.phase = Phase::kWaiting;
+  state.waiting_since = now;
+  state.cover_known = false;
+  state.covered = false;
+  workspace.queue.insert(state.job.id);
+  workspace.not_started.insert(state.job.id);
+  workspace.changed = true;
+}
+
+void Oracle::Close(JobState& state) {
+  state.closed = true;
+  if (state.phase == Phase::kWaiting) {
+    state.phase = Phase::kEnded;
+    WorkspaceState& workspace = workspaces_[state.job.workspace];
+    workspace.queue.erase(state.job.id);
+    workspace.not_started.erase(state.job.id);
+  }
+}
+
+Oracle::JobState* Oracle::FindHeld(const JobId& job, Attempt attempt) {
+  const auto it = jobs_.find(job);
+  if (it == jobs_.end() || !held_.contains(job) ||
+      it->second.attempt != attempt) {
+    return nullptr;
+  }
+  return &it->second;
+}
+
+bool Oracle::AllGone(const JobState& state) {
+  return std::all_of(state.placement.begin(), state.placement.end(),
+                     [](const WorkerId& it) { return it.empty(); });
+}
+
+void Oracle::CheckIncomplete(TimePoint now) {
+  for (const JobId& id : held_) {
+    JobState& state = jobs_.at(id);
+    if (state.incomplete && !AllGone(state) &&
+        now - state.incomplete_since > limits_.start_timeout) {
+      state.incomplete = false;
+      Report(counts_.partial_gangs, now,
+             Name(id, state.attempt) + " runs on without some of its tasks");
+    }
+  }
+}
+
+void Oracle::CheckGuarantees(WorkspaceState& workspace, TimePoint now) {
+  UpdateCover(workspace, now);
+  for (const JobId& id : workspace.not_started) {
+    CountViolation(jobs_.at(id), now);
+  }
+}
+
+void Oracle::UpdateCover(WorkspaceState& workspace, TimePoint now) {
+  if (!workspace.changed) {
+    return;
+  }
+  workspace.changed = false;
+  std::vector<std::pair<scheduling::Shape, bool>> known;
+  for (const JobId& id : workspace.queue) {
+    JobState& state = jobs_.at(id);
+    const scheduling::Shape& gang = state.job.gang;
+    auto it = std::find_if(known.begin(), known.end(), [&](const auto& shape) {
+      return shape.first == gang;
+    });
+    if (it == known.end()) {
+      const Accelerators quota = workspace.workspace.quota;
+      const bool allowed =
+          quota.value() == 0 || workspace.used + Total(state.job) <= quota;
+      known.emplace_back(gang, allowed && workspace.book.Covers(gang));
+      it = std::prev(known.end());
+    }
+    if (it->second && !state.covered) {
+      state.covered_since = state.cover_known ? now : state.waiting_since;
+    }
+    state.covered = it->second;
+    state.cover_known = true;
+  }
+}
+
+void Oracle::CountViolation(JobState& state, TimePoint now) {
+  const WorkspaceState& workspace = workspaces_[state.job.workspace];
+  const Duration limit =
+      workspace.workspace.reclaim_deadline + limits_.start_latency;
+  if (!state.covered || now - state.covered_since <= limit) {
+    return;
+  }
+  if (!GuaranteesCanBeHeld()) {
+    state.covered_since = now;
+    return;
+  }
+  Report(counts_.guarantee_violations, now,
+         state.job.id.value() + " of " + state.job.workspace.value() +
+             " waits since " + std::to_string(ToMillis(state.covered_since)) +
+             " ms");
+  // One violation per period of waiting.
+  state.covered_since = TimePoint::max() - 2 * limit;
+}
+
+bool Oracle::GuaranteesCanBeHeld() const {
+  std::vector<Worker> empty;
+  std::vector<Worker> rest;
+  for (const auto& [id, state] : workers_) {
+    if (!state.up || state.bad || out_domains_.contains(state.worker.domain)) {
+      continue;
+    }
+    empty.push_back(state.worker);
+    rest.push_back(state.worker);
+    rest.back().capacity -= state.guaranteed_used;
+  }
+  std::vector<GuaranteeBlock> all;
+  std::vector<GuaranteeBlock> unused;
+  for (const auto& [id, workspace] : workspaces_) {
+    for (const GuaranteeBlock& block : workspace.book.blocks()) {
+      unused.push_back(block);
+      all.push_back(block);
+      all.back().free.assign(block.free.size(), block.per_slice);
+    }
+  }
+  return CanHold(std::move(all), std::move(empty)) &&
+         CanHold(std::move(unused), std::move(rest));
+}
+
+void Oracle::RestartClocks(TimePoint now) {
+  for (auto& [id, workspace] : workspaces_) {
+    for (const JobId& job : workspace.not_started) {
+      JobState& state = jobs_.at(job);
+      state.covered_since = std::max(state.covered_since, now);
+      state.waiting_since = std::max(state.waiting_since, now);
+    }
+  }
+}
+
+void Oracle::Report(int64_t& count, TimePoint now, const std::string& text) {
+  ++count;
+  if (findings_.size() < kMaxFindings) {
+    findings_.push_back(std::to_string(ToMillis(now)) + " ms: " + text);
+  }
+}
+
+}  // namespace quetzalshelf::bench
--- /dev/null
+++ b/bench/oracle.h
@@ -0,0 +1,153 @@
+// Independent bookkeeping of every command and event. Counts what must never
+// happen; shares no code with any scheduler.
+
+#ifndef BENCH_ORACLE_H_
+#define BENCH_ORACLE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bench/guarantee_book.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "servers/scheduling/types.h"
+
+namespace quetzalshelf::bench {
+
+// Each must be 0. The definitions are in docs/MEASUREMENTS.md.
+struct FaultCounts {
+  int64_t guarantee_violations = 0;
+  int64_t partial_gangs = 0;
+  int64_t starts_in_out_domain = 0;
+  int64_t duplicate_runs = 0;
+  int64_t lost_jobs = 0;
+
+  int64_t Total() const;
+  FaultCounts& operator+=(const FaultCounts& other);
+};
+
+struct OracleLimits {
+  Duration start_latency{2'000};     // Longest start of a gang.
+  Duration start_timeout{2'000};     // A gang may be incomplete for so long.
+  Duration domain_out_limit{5'000};  // From a domain's exit to the last start.
+};
+
+// Commands are reported when they are given, events before the scheduler is
+// told. `now` never decreases.
+class Oracle {
+ public:
+  Oracle(const std::vector<scheduling::Workspace>& workspaces,
+         const OracleLimits& limits);
+
+  void WorkerUp(const scheduling::Worker& worker, TimePoint now);
+  void WorkerDown(const WorkerId& worker, TimePoint now);
+  // A worker that fails every task; it holds no guarantee meanwhile.
+  void WorkerBad(const WorkerId& worker, bool bad, TimePoint now);
+  void DomainInService(const DomainId& domain, bool in, TimePoint now);
+
+  // Whether a job is runnable is known from the trace.
+  void Submitted(const scheduling::Job& job, bool runnable, TimePoint now);
+  void Cancelled(const JobId& job, TimePoint now);
+  void Commanded(const scheduling::Command& command, TimePoint now);
+  void Started(const JobId& job, Attempt attempt, TimePoint now);
+  void StartFailed(const JobId& job, Attempt attempt, TimePoint now);
+  void Finished(const JobId& job, Attempt attempt, TimePoint now);
+  void TaskFailed(const JobId& job,
+                  Attempt attempt,
+                  const WorkerId& worker,
+                  TimePoint now);
+  void Stopped(const JobId& job, Attempt attempt, TimePoint now);
+
+  // Checks what is due; call about every second, after the scheduler's tick.
+  void Check(TimePoint now);
+  // Counts the jobs without an outcome.
+  void End(TimePoint now);
+
+  const FaultCounts& counts() const { return counts_; }
+  // A sentence for each of the first faults found.
+  const std::vector<std::string>& findings() const { return findings_; }
+
+ private:
+  enum class Phase { kWaiting, kStarting, kRunning, kStopping, kEnded };
+  struct JobState {
+    scheduling::Job job;
+    Phase phase = Phase::kWaiting;
+    bool runnable = true;
+    bool closed = false;  // Cancelled or refused: must not start any more.
+    Attempt attempt;
+    scheduling::Placement placement;
+    int failures = 0;
+    std::set<WorkerId> failed_on;
+    TimePoint waiting_since;
+    bool cover_known = false;  // `covered` was evaluated since then.
+    bool covered = false;      // By its workspace's guarantees.
+    TimePoint covered_since;
+    bool guaranteed = false;  // The running attempt is charged so.
+    // Set when a worker of the gang is gone and nobody stopped the rest.
+    bool incomplete = false;
+    TimePoint incomplete_since;
+  };
+  struct WorkerState {
+    scheduling::Worker worker;
+    bool up = false;
+    bool bad = false;
+    Resources used;
+    Resources guaranteed_used;
+  };
+  struct WorkspaceState {
+    scheduling::Workspace workspace;
+    GuaranteeBook book;
+    Accelerators used;
+    bool changed = true;          // The cover of waiting jobs may differ.
+    std::set<JobId> queue;        // Waiting.
+    std::set<JobId> not_started;  // Waiting or starting.
+  };
+
+  void OnStart(const scheduling::StartGang& start, TimePoint now);
+  void OnStop(const scheduling::StopGang& stop);
+  void OnRefuse(const scheduling::RefuseJob& refuse, TimePoint now);
+  void CheckMayStart(JobState& state,
+                     const scheduling::StartGang& start,
+                     TimePoint now);
+  // Whether the refusal of a job that could run is wrong.
+  bool WrongRefusal(const JobState& state,
+                    scheduling::RefusalReason reason) const;
+  void CheckPlacement(const JobState& state,
+                      const scheduling::StartGang& start,
+                      TimePoint now);
+  void CheckCapacity(const JobState& state, TimePoint now);
+  bool Adjacent(const JobState& state,
+                const scheduling::Placement& placement) const;
+  void CheckDomains(const JobState& state, TimePoint now, Duration limit);
+  void Hold(JobState& state, const scheduling::StartGang& start);
+  void Release(JobState& state);
+  void EndAttempt(JobState& state, TimePoint now);
+  void Wait(JobState& state, TimePoint now);
+  void Close(JobState& state);
+  void CheckIncomplete(TimePoint now);
+  static bool AllGone(const JobState& state);
+  JobState* FindHeld(const JobId& job, Attempt attempt);
+
+  void CheckGuarantees(WorkspaceState& workspace, TimePoint now);
+  void UpdateCover(WorkspaceState& workspace, TimePoint now);
+  void CountViolation(JobState& state, TimePoint now);
+  bool GuaranteesCanBeHeld() const;
+  void RestartClocks(TimePoint now);
+  void Report(int64_t& count, TimePoint now, const std::string& text);
+
+  OracleLimits limits_;
+  FaultCounts counts_;
+  std::vector<std::string> findings_;
+  std::map<WorkspaceId, WorkspaceState> workspaces_;
+  std::map<WorkerId, WorkerState> workers_;
+  std::unordered_map<JobId, JobState> jobs_;
+  std::set<JobId> held_;
+  std::map<DomainId, TimePoint> out_domains_;  // With the time of the exit.
+};
+
+}  // namespace quetzalshelf::bench
+
+#endif  // BENCH_ORACLE_H_
--- /dev/null
+++ b/bench/schedulers.cc
@@ -0,0 +1,21 @@
+#include "bench/schedulers.h"
+
+#include "servers/scheduling/naive_scheduler.h"
+
+namespace quetzalshelf::bench {
+
+std::unique_ptr<scheduling::GangScheduler> MakeScheduler(
+    SchedulerKind /*kind*/) {
+  return std::make_unique<scheduling::NaiveScheduler>();
+}
+
+DriverOptions OptionsFor(SchedulerKind kind) {
+  return {.resume_from_checkpoint = kind != SchedulerKind::kNaive};
+}
+
+RunResult RunTrace(const Trace& trace, SchedulerKind kind) {
+  const auto scheduler = MakeScheduler(kind);
+  return Driver(trace, *scheduler, OptionsFor(kind)).Run();
+}
+
+}  // namespace quetzalshelf::bench
--- /dev/null
+++ b/bench/schedulers.h
@@ -0,0 +1,25 @@
+// The schedulers that the benches compare.
+
+#ifndef BENCH_SCHEDULERS_H_
+#define BENCH_SCHEDULERS_H_
+
+#include <memory>
+
+#include "bench/driver.h"
+#include "servers/scheduling/gang_scheduler.h"
+
+namespace quetzalshelf::bench {
+
+enum class SchedulerKind { kShape, kNaive };
+
+std::unique_ptr<scheduling::GangScheduler> MakeScheduler(SchedulerKind kind);
+
+// The baseline restarts gangs from the beginning.
+DriverOptions OptionsFor(SchedulerKind kind);
+
+// Runs a trace with a new scheduler.
+RunResult RunTrace(const Trace& trace, SchedulerKind kind);
+
+}  // namespace quetzalshelf::bench
+
+#endif  // BENCH_SCHEDULERS_H_
