--- a/tests/jobs/job_service_test.cc
+++ b/tests/jobs/job_service_test.cc
@@ -6,23 +6,23 @@
 
 namespace quetzalshelf::jobs {
 
+// Every promise is checked with the naive scheduler (even seed) and with the
+// shape scheduler (odd seed).
+
 TEST_CASE("a job runs on all its workers and publishes one whole result") {
-  JobWorld world(1);
-  REQUIRE(world.Submit(world.Spec("a", 3, Duration(20'000))) ==
-          SubmitOutcome::kAccepted);
-  world.Run(Duration(3'000));
-  CHECK(world.State("a") == JobState::kRunning);
-  CHECK(world.workers.Running(JobId("a")) == 3);
-  world.Run(Duration(25'000));
-  CHECK(world.State("a") == JobState::kFinished);
-  std::string result;
-  world.owner->service.Result(JobId("a"),
-                              [&](const absl::StatusOr<std::string>& answer) {
-                                result = answer.value();
-                              });
-  world.runner.RunReady();
-  CHECK(result ==
-        R"({"attempt":1,"format":1,"job":"a","tasks":["a/0","a/1","a/2"]})");
+  for (uint64_t seed : {1, 2}) {
+    JobWorld world(seed);
+    REQUIRE(world.Submit(world.Spec("a", 3, Duration(20'000))) ==
+            SubmitOutcome::kAccepted);
+    world.Run(Duration(3'000));
+    CHECK(world.State("a") == JobState::kRunning);
+    CHECK(world.Running("a") == 3);
+    world.Run(Duration(25'000));
+    CHECK(world.State("a") == JobState::kFinished);
+    CHECK(world.Result("a") ==
+          R"({"attempt":1,"format":1,"job":"a","tasks":)"
+          R"(["answer of a","answer of a","answer of a"]})");
+  }
 }
 
 TEST_CASE("the same id is the same job, and another job under it a conflict") {
@@ -35,4 +35,43 @@
   CHECK(world.Submit(other) == SubmitOutcome::kConflict);
 }
 
+TEST_CASE("a job that can never run is refused with a reason") {
+  JobWorld world(1);
+  CHECK(world.Submit(world.Spec("big", 5, Duration(20'000))) ==
+        SubmitOutcome::kAccepted);
+  world.Run(Duration(1'000));
+  const auto record = world.StoredRecord("big");
+  REQUIRE(record);
+  CHECK(record->state == JobState::kRefused);
+  CHECK_FALSE(record->detail.empty());
+}
+
+TEST_CASE("a cancelled job stops everywhere and frees its workers") {
+  for (uint64_t seed : {1, 2}) {
+    JobWorld world(seed);
+    world.Submit(world.Spec("a", 4, Duration(600'000)));
+    world.Submit(world.Spec("b", 4, Duration(5'000)));
+    world.Run(Duration(3'000));
+    CHECK(world.Running("a") == 4);
+    CHECK(world.Cancel("a") == CancelOutcome::kCancelled);
+    CHECK(world.Cancel("a") == CancelOutcome::kAlreadyEnded);
+    CHECK(world.Cancel("none") == CancelOutcome::kNotFound);
+    world.Run(Duration(20'000));
+    CHECK(world.Running("a") == 0);
+    CHECK(world.State("b") == JobState::kFinished);
+    CHECK_FALSE(world.Result("a").has_value());
+  }
+}
+
+TEST_CASE("a job whose tasks always fail ends as failed with a reason") {
+  JobWorld world(2);
+  JobSpec spec = world.Spec("a", 2, Duration(1'000));
+  spec.payload = R"({"fail":true})";
+  world.Submit(spec);
+  CHECK(world.RunUntil([&] { return world.State("a") == JobState::kFailed; },
+                       Duration(300'000)));
+  CHECK_FALSE(world.StoredRecord("a")->detail.empty());
+  CHECK(world.Running("a") == 0);
+}
+
 }  // namespace quetzalshelf::jobs
--- a/tests/jobs/job_world.h
+++ b/tests/jobs/job_world.h
@@ -3,23 +3,30 @@
 #ifndef TESTS_JOBS_JOB_WORLD_H_
 #define TESTS_JOBS_JOB_WORLD_H_
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "core/random.h"
 #include "drivers/clock/manual_task_runner.h"
 #include "drivers/platform/memory_object_store.h"
 #include "drivers/platform/memory_table.h"
+#include "servers/cluster/store_gate.h"
 #include "servers/jobs/job_service.h"
-#include "tests/jobs/fake_workers.h"
+#include "standins/worker/in_process_workers.h"
+#include "tests/jobs/recording_port.h"
 
 namespace quetzalshelf::jobs {
 
-// Ownership that a test grants; the shard row is written by Owner.
+// Ownership that a test grants.
 class GrantedOwnership : public cluster::ShardOwnership {
  public:
-  explicit GrantedOwnership(Epoch epoch, RowVersion version)
+  GrantedOwnership(Epoch epoch, RowVersion version)
       : epoch_(epoch), version_(version) {}
 
   const RegionId& region() const override { return region_; }
@@ -37,53 +44,82 @@
   const RowVersion version_;
 };
 
+class JobWorld;
+
 // One process that owns the shard.
 struct Owner {
-  Owner(MemoryTable& table,
-        MemoryObjectStore& objects,
-        FakeWorkers& workers,
-        ManualTaskRunner& runner,
-        Epoch epoch);
+  Owner(JobWorld& world, Epoch epoch);
 
+  cluster::StoreGate gate;
   cluster::Committer committer;
   GrantedOwnership ownership;
+  std::shared_ptr<RecordingPort> port;
   JobService service;
   bool paused = false;
 };
 
+// What was seen of one attempt.
+struct SeenAttempt {
+  std::map<int, TimePoint> started;  // By task.
+  std::map<int, WorkerId> workers;
+  std::optional<TimePoint> partial_since;
+  Duration longest_partial{0};
+};
+
 class JobWorld {
  public:
   // Two workers in each of the domains d0 and d1, with 8 accelerators each.
   explicit JobWorld(uint64_t seed);
 
   // Takes the shard with the next epoch. The earlier owner, if any, stays as
-  // `previous`.
+  // `previous` and goes on until it finds out.
   void TakeOver();
   void KillOwner() { owner.reset(); }
-  // Lets time pass in ticks of 100 ms.
+  // The next owner comes when the row has stayed unchanged for 12 s.
+  void KillAndReplaceOwner();
+  // Lets time pass in ticks of 100 ms and watches the workers.
   void Run(Duration time);
+  // Runs until `done`, at most `limit`; whether it came true.
+  bool RunUntil(const std::function<bool()>& done, Duration limit);
 
   JobSpec Spec(const std::string& id, int tasks, Duration run_time) const;
   // Submits and waits up to 3 s for the reply.
   SubmitOutcome Submit(const JobSpec& spec);
+  CancelOutcome Cancel(const std::string& id);
   std::optional<JobState> State(const std::string& id);
-  void SetDomain(const std::string& domain, bool in_service);
   // The record in the table, whoever wrote it.
   std::optional<JobRecord> StoredRecord(const std::string& id);
+  std::optional<std::string> Result(const std::string& id);
+  void SetDomain(const std::string& domain, bool in_service);
   std::vector<WorkerEntry> Entries() const;
+  void AddWorker(int index);
+  // Tasks of the job that run now.
+  int Running(const std::string& id);
 
   ManualTaskRunner runner;
   MemoryTable table;
   MemoryObjectStore objects;
-  FakeWorkers workers;
+  InProcessWorkers workers;
+  EpochOracle epochs;
   std::unique_ptr<Owner> owner;
   std::unique_ptr<Owner> previous;
+  std::map<GangKey, SeenAttempt> seen;
+  // When each domain last left; absent while in service.
+  std::map<DomainId, TimePoint> exits;
+  int late_starts = 0;  // Later than 3 s after the exit of the domain.
+  uint64_t seed;
 
  private:
   void CommitRow(const std::string& key, const std::string& value);
+  void Tick(Owner& it);
+  void Watch();
 
   uint64_t epoch_ = 0;
   uint64_t tokens_ = 0;
+  int incarnations_ = 0;
+  // Ports must outlive the answers that are under way.
+  std::vector<std::shared_ptr<RecordingPort>> ports_;
+  friend struct Owner;
 };
 
 }  // namespace quetzalshelf::jobs
