--- a/tests/drivers/http_server_test.cc
+++ b/tests/drivers/http_server_test.cc
@@ -1,7 +1,7 @@
 #include <vector>
 
 #include "drivers/http/router.h"
-#include "io_harness.h"
+#include "tests/drivers/io_harness.h"
 
 namespace quetzalshelf {
 namespace {
--- a/tests/drivers/raw_peer.cc
+++ b/tests/drivers/raw_peer.cc
@@ -1,4 +1,4 @@
-#include "raw_peer.h"
+#include "tests/drivers/raw_peer.h"
 
 #include <utility>
 #include <vector>
--- a/tests/drivers/single_send_test.cc
+++ b/tests/drivers/single_send_test.cc
@@ -1,8 +1,8 @@
 #include <asio/ip/tcp.hpp>
 
 #include "drivers/backend/http_backend_port.h"
-#include "io_harness.h"
-#include "raw_peer.h"
+#include "tests/drivers/io_harness.h"
+#include "tests/drivers/raw_peer.h"
 
 namespace quetzalshelf {
 namespace {
