--- a/servers/settings/schema.cc
+++ b/servers/settings/schema.cc
@@ -111,6 +111,7 @@
 const std::vector<Rule>& Rules() {
   static const std::vector<Rule> kRules = [] {
     std::vector<Rule> rules;
+    rules.reserve(kSchema.size());
     for (const SchemaEntry& it : kSchema)
       rules.push_back({&it, SplitPattern(it.path)});
     return rules;
@@ -122,6 +123,7 @@
 
 RuleSet AllRules() {
   RuleSet rules;
+  rules.reserve(Rules().size());
   for (const Rule& it : Rules())
     rules.push_back(&it);
   return rules;
--- a/servers/settings/settings_fetcher.cc
+++ b/servers/settings/settings_fetcher.cc
@@ -50,10 +50,12 @@
 void SettingsFetcher::Tick(TimePoint now) {
   if (now >= next_poll_) {
     next_poll_ = now + kPollInterval;
+    // The table has had one interval to answer before the peers are asked.
+    if (polled_ && !ready_ && round_open_ == 0)
+      AskAllPeers(now);
+    polled_ = true;
     if (!refreshing_)
       Refresh([](const absl::Status&) {});
-    if (!ready_ && !table_status_.ok() && round_open_ == 0)
-      AskAllPeers(now);
   }
   if (round_open_ > 0 && now >= round_end_)
     EndRound();
@@ -209,7 +211,7 @@
   table_.Read(SubtreeKey(subtree), Guard(on_row));
 }
 
-void SettingsFetcher::Finish(absl::Status status) {
+void SettingsFetcher::Finish(const absl::Status& status) {
   if (!status.ok() && table_status_.ok())
     LOG(WARNING) << "cannot read the settings from the table service: "
                  << status.message();
--- a/servers/settings/settings_fetcher.h
+++ b/servers/settings/settings_fetcher.h
@@ -76,7 +76,7 @@
   void LoadChanged(const FetchPtr& fetch);
   void OnHistory(const FetchPtr& fetch, const std::vector<Row>& rows);
   void ReadNextSubtree(const FetchPtr& fetch);
-  void Finish(absl::Status status);
+  void Finish(const absl::Status& status);
 
   void AskAllPeers(TimePoint now);
   // `round` is 0 outside a cold start.
@@ -95,6 +95,7 @@
   bool ready_ = false;
   absl::Status table_status_;
   TimePoint next_poll_{};
+  bool polled_ = false;
 
   bool refreshing_ = false;
   std::vector<RefreshCallback> waiting_;  // For the refresh that runs.
--- a/servers/settings/settings_service.cc
+++ b/servers/settings/settings_service.cc
@@ -31,7 +31,7 @@
   HistoryCallback done;
 };
 
-SettingsService::SettingsService(SettingsServiceOptions options,
+SettingsService::SettingsService(const SettingsServiceOptions& options,
                                  Table& table,
                                  PeerPort& peers,
                                  EventLog* events)
--- a/servers/settings/settings_service.h
+++ b/servers/settings/settings_service.h
@@ -40,7 +40,7 @@
 
   // `table`, `peers` and `events` must outlive the service; `events` may be
   // null.
-  SettingsService(SettingsServiceOptions options,
+  SettingsService(const SettingsServiceOptions& options,
                   Table& table,
                   PeerPort& peers,
                   EventLog* events);
