Keep removed teams removed after a full load of the settings

A removed team's row had a null value, which the codec read as an empty team, so that a restarted node brought the team back. Older versions of the settings can be read by undoing the changes of the history.

--- a/servers/settings/settings_rows.cc
+++ b/servers/settings/settings_rows.cc
@@ -95,10 +95,10 @@
 }
 
 std::string EncodeSubtree(const SubtreeRow& row) {
-  return Json{{"format", kFormat},
-              {"version", row.version.value()},
-              {"value", row.value}}
-      .dump();
+  Json json = {{"format", kFormat}, {"version", row.version.value()}};
+  if (!row.value.is_null())
+    json["value"] = row.value;
+  return json.dump();
 }
 
 Json ToJson(const HistoryEntry& entry) {
--- a/servers/settings/settings_rows.h
+++ b/servers/settings/settings_rows.h
@@ -26,7 +26,7 @@
 std::string DomainKey(const DomainId& domain);
 
 // A subtree and the version that changed it last. A removed team keeps its row
-// with a null value, so that a change based on an older version is a conflict.
+// without a value, so that a change based on an older version is a conflict.
 struct SubtreeRow {
   SettingsVersion version;
   Json value;
--- a/servers/settings/settings_service.cc
+++ b/servers/settings/settings_service.cc
@@ -132,6 +132,40 @@
               });
 }
 
+void SettingsService::TreeAt(SettingsVersion version, TreeCallback done) {
+  if (version > this->version()) {
+    done(absl::NotFoundError("this node holds settings version " +
+                             std::to_string(this->version().value())));
+    return;
+  }
+  UndoChanges(std::make_shared<SettingsTree>(tree()), version, std::move(done));
+}
+
+void SettingsService::UndoChanges(const std::shared_ptr<SettingsTree>& tree,
+                                  SettingsVersion version,
+                                  TreeCallback done) {
+  if (tree->version() == version) {
+    done(std::move(*tree));
+    return;
+  }
+  HistoryAt(tree->version(), [this, tree, version, done = std::move(done),
+                              alive = std::weak_ptr(alive_)](
+                                 const absl::StatusOr<HistoryEntry>& entry) {
+    if (alive.expired())
+      return;
+    if (!entry.ok()) {
+      done(entry.status());
+      return;
+    }
+    for (const ValueChange& it : entry->changes) {
+      if (auto path = SettingsPath::Parse(it.path); path.ok())
+        tree->Set(*path, it.before);
+    }
+    tree->set_version(SettingsVersion(tree->version().value() - 1));
+    UndoChanges(tree, version, done);
+  });
+}
+
 void SettingsService::OnInForce(const SettingsTree& tree) {
   if (events_ != nullptr) {
     events_->Add({.kind = "settings.in_force", .settings = tree.version()});
--- a/servers/settings/settings_service.h
+++ b/servers/settings/settings_service.h
@@ -36,6 +36,7 @@
   using HistoryCallback =
       std::function<void(absl::StatusOr<std::vector<HistoryEntry>>)>;
   using EntryCallback = std::function<void(absl::StatusOr<HistoryEntry>)>;
+  using TreeCallback = std::function<void(absl::StatusOr<SettingsTree>)>;
   using InForceCallback = std::function<void(const SettingsTree&)>;
 
   // `table`, `peers` and `events` must outlive the service; `events` may be
@@ -72,11 +73,17 @@
   void History(const SettingsPath& path, int limit, HistoryCallback done);
   // kNotFound when there is no such version.
   void HistoryAt(SettingsVersion version, EntryCallback done);
+  // The settings as they were at an older version, without the versions of
+  // subtrees. kNotFound when the version is not in the history.
+  void TreeAt(SettingsVersion version, TreeCallback done);
 
  private:
   struct HistoryScan;
 
   void ScanHistory(const std::shared_ptr<HistoryScan>& scan);
+  void UndoChanges(const std::shared_ptr<SettingsTree>& tree,
+                   SettingsVersion version,
+                   TreeCallback done);
   void OnInForce(const SettingsTree& tree);
 
   Table& table_;
--- a/tests/settings/settings_service_test.cc
+++ b/tests/settings/settings_service_test.cc
@@ -242,6 +242,23 @@
   CHECK(site.WeightAt(*site.a) == 9);
 }
 
+// Guards against older versions that are rebuilt with later changes.
+TEST_CASE("The settings can be read as of an older version") {
+  Site site;
+  site.MustChange("teams/plaza/weight", 3, 0);
+  site.MustChange("site/domains/cartago/in_service", false, 1);
+  site.MustChange("teams/plaza", nullptr, 2);
+  std::optional<absl::StatusOr<SettingsTree>> tree;
+  const auto keep = [&tree](auto found) { tree = std::move(found); };
+  site.b->TreeAt(SettingsVersion(1), keep);
+  site.table.Run();
+  REQUIRE(tree->ok());
+  CHECK((*tree)->Get(Path("teams/plaza/weight")) == 3);
+  CHECK((*tree)->IsInService(DomainId("cartago")));
+  site.b->TreeAt(SettingsVersion(9), keep);
+  CHECK(absl::IsNotFound(tree->status()));
+}
+
 // Guards against a failure domain that is out in the settings while the rows
 // that gang starts depend on still say that it is in service.
 TEST_CASE("A failure domain moves in the transaction of its change") {
