Record whole teams as one change and prune empty parents

Undoing the creation of a team left an empty team behind, because the history held only its settings. Teams that appear or disappear are one change now, and removing a setting removes the parents that it leaves empty.

--- a/servers/settings/settings_tree.cc
+++ b/servers/settings/settings_tree.cc
@@ -22,16 +22,32 @@
   return it == parent.end() ? kNull : *it;
 }
 
-Json Remove(Json value, const std::vector<std::string>& segments) {
-  Json* parent = &value;
-  for (size_t i = 0; i + 1 < segments.size(); ++i) {
-    if (!parent->is_object() || !parent->contains(segments[i]))
-      return value;
-    parent = &(*parent)[segments[i]];
+// Segments of the path of a subtree: `site` or `teams/<workspace>`.
+size_t SubtreeDepth(const std::vector<std::string>& segments) {
+  return segments[0] == "site" ? 1 : 2;
+}
+
+// Removes the value below `parent` and the parents that it leaves empty, but
+// for the subtree itself: a team without settings still exists.
+void Remove(Json& parent, const std::vector<std::string>& segments, size_t at) {
+  auto it = parent.is_object() ? parent.find(segments[at]) : parent.end();
+  if (it == parent.end())
+    return;
+  if (at + 1 < segments.size()) {
+    Remove(*it, segments, at + 1);
+    const bool prune = at + 1 > SubtreeDepth(segments) && it->empty();
+    if (!prune)
+      return;
   }
-  if (parent->is_object() && !segments.empty())
-    parent->erase(segments.back());
-  return value;
+  parent.erase(it);
+}
+
+// Whether a whole team appears or disappears.
+bool IsTeamChange(const Json& before,
+                  const Json& after,
+                  const std::string& path) {
+  return before.is_null() != after.is_null() && path.starts_with("teams/") &&
+         SubtreeOf(path) == path;
 }
 
 void DiffInto(const Json& before,
@@ -42,7 +58,8 @@
     return;
   const bool descend = (before.is_object() || before.is_null()) &&
                        (after.is_object() || after.is_null()) &&
-                       FindEntry(path) == nullptr;
+                       FindEntry(path) == nullptr &&
+                       !IsTeamChange(before, after, path);
   if (!descend) {
     changes.push_back({path, before, after});
     return;
@@ -52,9 +69,6 @@
     names.insert(name);
   for (const auto& [name, value] : after.items())
     names.insert(name);
-  // An empty object has no settings to compare, but it can be a new team.
-  if (before.is_null() != after.is_null() && names.empty())
-    changes.push_back({path, before, after});
   for (const std::string& it : names)
     DiffInto(Child(before, it), Child(after, it), JoinPath(path, it), changes);
 }
@@ -131,8 +145,10 @@
 }
 
 void SettingsTree::Set(const SettingsPath& path, Json value) {
-  if (value.is_null()) {
-    root_ = Remove(std::move(root_), path.segments());
+  if (value.is_null() && path.segments().empty()) {
+    root_ = Json::object();
+  } else if (value.is_null()) {
+    Remove(root_, path.segments(), 0);
   } else {
     Json* target = &root_;
     for (const std::string& it : path.segments())
@@ -140,7 +156,7 @@
     *target = std::move(value);
   }
   for (const char* name : {"site", "teams"}) {
-    if (root_.is_null() || (root_.is_object() && !root_.contains(name)))
+    if (root_.is_object() && !root_.contains(name))
       root_[name] = Json::object();
   }
 }
--- a/servers/settings/settings_tree.h
+++ b/servers/settings/settings_tree.h
@@ -49,8 +49,8 @@
   Json after;
 };
 
-// The differences between two values at `path`, down to single settings;
-// lists are compared whole.
+// The differences between two values at `path`, down to single settings. Lists
+// are compared whole, and teams that exist on one side only are one change.
 std::vector<ValueChange> DiffValues(const Json& before,
                                     const Json& after,
                                     const std::string& path);
--- a/servers/settings/settings_validator.cc
+++ b/servers/settings/settings_validator.cc
@@ -189,7 +189,8 @@
   const auto changes = DiffValues(before.root(), after.root(), "");
   return std::any_of(changes.begin(), changes.end(), [](const auto& it) {
     return it.path.starts_with("site/domains/") ||
-           it.path.ends_with("/guarantees");
+           it.path.ends_with("/guarantees") ||
+           (it.after.is_object() && it.after.contains("guarantees"));
   });
 }
 
