--- /dev/null
+++ b/main/ctl/cluster_commands.h
@@ -0,0 +1,42 @@
+// The commands `nodes`, `status` and `timeline`.
+
+#ifndef MAIN_CTL_CLUSTER_COMMANDS_H_
+#define MAIN_CTL_CLUSTER_COMMANDS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "main/ctl/context.h"
+
+namespace quetzalshelf::ctl {
+
+Exit ShowNodes(Context& context);
+Exit ShowStatus(Context& context);
+
+// Filters of the timeline; empty or 0 for no filter.
+struct TimelineOptions {
+  std::string job;
+  std::string workspace;
+  std::string domain;
+  std::string node;
+  int64_t from_ms = 0;  // Since the Unix epoch.
+  int64_t to_ms = 0;
+  std::string html_file;
+};
+
+// Merges the timelines of all nodes in the order of their hybrid times. Nodes
+// that cannot be reached are named; with none reached the exit is kNoServer.
+Exit ShowTimeline(Context& context, const TimelineOptions& options);
+
+// One page that needs nothing from a network. `missing` names nodes whose
+// events are not in it.
+std::string TimelinePage(const std::vector<Json>& events,
+                         const std::vector<std::string>& missing);
+
+// UTC time of milliseconds since the Unix epoch.
+std::string FormatTime(int64_t millis);
+
+}  // namespace quetzalshelf::ctl
+
+#endif  // MAIN_CTL_CLUSTER_COMMANDS_H_
