Add the daemon with its HTTP interface

Cause: the servers and drivers existed without a program that joins them. Change: quetzalshelfd with jobs, requests, settings, node and peer interfaces; forwarding to the shard owner and to the incarnation that issued a ticket; recorded tickets of stopped incarnations; graceful stop sequence; embedded platform, workers and backend server for standalone mode.

--- a/core/json_reader.cc
+++ b/core/json_reader.cc
@@ -185,6 +185,12 @@
   return Find(field, false) == nullptr ? EmptyObject() : RequireObject(field);
 }
 
+void JsonReader::OptionalAny(std::string_view field, Json& value) {
+  seen_.emplace_back(field);
+  if (auto it = json_.find(std::string(field)); it != json_.end())
+    value = *it;
+}
+
 void JsonReader::Finish() {
   for (const auto& [name, value] : json_.items()) {
     if (std::find(seen_.begin(), seen_.end(), name) == seen_.end())
--- a/core/json_reader.h
+++ b/core/json_reader.h
@@ -51,6 +51,8 @@
                              size_t max_size = 256);
   const Json& OptionalArray(std::string_view field);
   const Json& OptionalObject(std::string_view field);
+  // Any value, null included; `value` stays as it is when the field is missing.
+  void OptionalAny(std::string_view field, Json& value);
   bool Has(std::string_view field) const;
 
   // Reads a non-empty string as an id.
--- /dev/null
+++ b/main/daemon/api/job_api.cc
@@ -0,0 +1,194 @@
+#include "main/daemon/api/job_api.h"
+
+#include <string>
+#include <utility>
+
+#include "drivers/http/api_error.h"
+#include "drivers/http/json_body.h"
+#include "main/daemon/api/access.h"
+#include "main/daemon/api/job_codec.h"
+
+namespace quetzalshelf {
+
+namespace {
+
+constexpr int kMaxListedJobs = 1'000;
+
+absl::Status NoOwnerStatus() {
+  return absl::UnavailableError(
+      "not run: the shard has no owner at the moment; try again");
+}
+
+// Whether a listed job matches the query.
+bool Matches(const HttpRequest& request, const jobs::JobRecord& record) {
+  const std::string workspace = request.Query("workspace");
+  const std::string state = request.Query("state");
+  const bool workspace_matches =
+      workspace.empty() || record.spec.job.workspace.value() == workspace;
+  return workspace_matches &&
+         (state.empty() || jobs::ToString(record.state) == state);
+}
+
+Json EncodeListEntry(const jobs::JobRecord& record) {
+  return {{"id", record.spec.job.id.value()},
+          {"workspace", record.spec.job.workspace.value()},
+          {"kind", record.spec.job.kind},
+          {"state", jobs::ToString(record.state)},
+          {"tasks", record.spec.job.gang.tasks},
+          {"attempt", record.attempt.value()}};
+}
+
+}  // namespace
+
+struct JobApi::Route {
+  const char* http_method;
+  const char* pattern;
+  Method method;
+};
+
+void JobApi::Register(HttpServer& server) {
+  static constexpr Route kRoutes[] = {
+      {"POST", "/v1/jobs", &JobApi::Submit},
+      {"GET", "/v1/jobs", &JobApi::List},
+      {"GET", "/v1/jobs/:job", &JobApi::Get},
+      {"GET", "/v1/jobs/:job/why", &JobApi::Why},
+      {"GET", "/v1/jobs/:job/result", &JobApi::Result},
+      {"DELETE", "/v1/jobs/:job", &JobApi::Cancel},
+  };
+  for (const Route& it : kRoutes) {
+    server.Handle(it.http_method, it.pattern,
+                  [this, method = it.method](auto request, auto respond) {
+                    Dispatch(method, request, respond);
+                  });
+  }
+}
+
+void JobApi::Dispatch(Method method,
+                      const HttpRequest& request,
+                      const Responder& respond) {
+  if (!RequireToken(access_, request, respond))
+    return;
+  if (jobs::JobService* service = shard_.service()) {
+    (this->*method)(*service, request, respond);
+    return;
+  }
+  const auto owner = shard_.Owner();
+  // A call is passed on once only, since two nodes that disagree about the
+  // owner would otherwise send it back and forth.
+  if (!owner || IsForwarded(request)) {
+    respond(ErrorResponse(NoOwnerStatus()));
+    return;
+  }
+  forwarder_.Forward(*owner, request, respond);
+}
+
+void JobApi::Submit(jobs::JobService& service,
+                    const HttpRequest& request,
+                    const Responder& respond) {
+  Findings findings;
+  const auto json = ParseJson(request.body, findings);
+  jobs::JobSpec spec;
+  if (json)
+    spec = jobs::ReadJobSpec(*json, "", findings);
+  if (!findings.empty()) {
+    respond(ErrorResponse(findings));
+    return;
+  }
+  const WorkspaceId& workspace = spec.job.workspace;
+  if (!RequireUse(access_, request, workspace, respond))
+    return;
+  if (!shard_.HasWorkspace(workspace)) {
+    findings.Add({"", 0, "workspace"},
+                 "workspace `" + workspace.value() + "` does not exist",
+                 "create it under `teams/" + workspace.value() + "`");
+    respond(ErrorResponse(findings));
+    return;
+  }
+  service.Submit(
+      spec,
+      [respond](const jobs::SubmitReply& reply) {
+        respond(EncodeSubmitReply(reply));
+      },
+      clock_.Now());
+}
+
+void JobApi::List(jobs::JobService& service,
+                  const HttpRequest& request,
+                  const Responder& respond) {
+  Json items = Json::array();
+  bool truncated = false;
+  for (const auto& [id, record] : service.rows().records()) {
+    if (!Matches(request, record))
+      continue;
+    truncated = items.size() >= kMaxListedJobs;
+    if (truncated)
+      break;
+    items.push_back(EncodeListEntry(record));
+  }
+  respond(JsonResponse({{"jobs", std::move(items)}, {"truncated", truncated}}));
+}
+
+void JobApi::Get(jobs::JobService& service,
+                 const HttpRequest& request,
+                 const Responder& respond) {
+  if (const auto view = Find(service, request, respond))
+    respond(JsonResponse(EncodeJob(*view)));
+}
+
+void JobApi::Why(jobs::JobService& service,
+                 const HttpRequest& request,
+                 const Responder& respond) {
+  if (const auto view = Find(service, request, respond)) {
+    respond(JsonResponse(
+        EncodeExplanation(view->record.spec.job.id, view->explanation)));
+  }
+}
+
+void JobApi::Result(jobs::JobService& service,
+                    const HttpRequest& request,
+                    const Responder& respond) {
+  const auto view = Find(service, request, respond);
+  if (!view ||
+      !RequireUse(access_, request, view->record.spec.job.workspace, respond)) {
+    return;
+  }
+  service.Result(JobId(request.Param("job")), [respond](auto result) {
+    if (!result.ok()) {
+      respond(ErrorResponse(result.status()));
+      return;
+    }
+    HttpResponse response;
+    response.body = *std::move(result);
+    respond(std::move(response));
+  });
+}
+
+void JobApi::Cancel(jobs::JobService& service,
+                    const HttpRequest& request,
+                    const Responder& respond) {
+  const auto view = Find(service, request, respond);
+  if (!view ||
+      !RequireUse(access_, request, view->record.spec.job.workspace, respond)) {
+    return;
+  }
+  const JobId job(request.Param("job"));
+  service.Cancel(
+      job,
+      [job, respond](const jobs::CancelReply& reply) {
+        respond(EncodeCancelReply(job, reply));
+      },
+      clock_.Now());
+}
+
+std::optional<jobs::JobView> JobApi::Find(jobs::JobService& service,
+                                          const HttpRequest& request,
+                                          const Responder& respond) {
+  auto view = service.Status(JobId(request.Param("job")), clock_.Now());
+  if (!view.ok()) {
+    respond(ErrorResponse(view.status()));
+    return std::nullopt;
+  }
+  return *std::move(view);
+}
+
+}  // namespace quetzalshelf
--- /dev/null
+++ b/main/daemon/node_directory.h
@@ -0,0 +1,40 @@
+// The nodes of the system as one of them sees them.
+
+#ifndef MAIN_DAEMON_NODE_DIRECTORY_H_
+#define MAIN_DAEMON_NODE_DIRECTORY_H_
+
+#include <utility>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/platform/peer_port.h"
+
+namespace quetzalshelf {
+
+struct KnownNode {
+  PeerAddress address;
+  IncarnationId incarnation;
+  RegionId region;
+  DomainId domain;
+  bool leaving = false;
+  bool is_self = false;
+};
+
+// Live nodes only, this one included. Single-threaded.
+class NodeDirectory {
+ public:
+  void Replace(std::vector<KnownNode> nodes) { nodes_ = std::move(nodes); }
+
+  const std::vector<KnownNode>& nodes() const { return nodes_; }
+  // Null when there is no live node of that name.
+  const KnownNode* Find(const NodeId& node) const;
+  // The addresses of all nodes but this one.
+  std::vector<PeerAddress> Peers() const;
+
+ private:
+  std::vector<KnownNode> nodes_;
+};
+
+}  // namespace quetzalshelf
+
+#endif  // MAIN_DAEMON_NODE_DIRECTORY_H_
--- a/servers/cluster/membership.h
+++ b/servers/cluster/membership.h
@@ -75,6 +75,8 @@
   // Announces the departure with the next beat, which is sent at once.
   void Leave(TimePoint now);
 
+  // The port that other nodes reach this one at, when it was chosen late.
+  void SetPort(int port) { self_.address.port = port; }
   // What the own heartbeats carry.
   void SetSettings(SettingsVersion version) { settings_ = version; }
   void SetStoreReachable(bool reachable) { store_reachable_ = reachable; }
--- a/servers/jobs/job_record.cc
+++ b/servers/jobs/job_record.cc
@@ -123,15 +123,15 @@
   job.urgency = ReadName(kUrgencies, reader, "urgency",
                          reader.OptionalString("urgency", "normal"));
   job.declared_run_time =
-      Duration(reader.OptionalInt("declared_run_time_ms", 0, kMaxInt, 0));
+      Duration(reader.OptionalInt("declared_run_ms", 0, kMaxInt, 0));
   job.can_checkpoint = reader.OptionalBool("can_checkpoint", true);
   job.max_failures =
       static_cast<int>(reader.OptionalInt("max_failures", 1, 100, 3));
   spec.payload = reader.OptionalString("payload", "", kMaxPayload);
   if (job.id.value().find('/') != std::string::npos)
     reader.AddFinding("id", "must not contain a slash");
-  const Json& resources = reader.RequireObject("per_task");
-  JsonReader nested(resources, reader.PathOf("per_task"), out);
+  const Json& resources = reader.RequireObject("resources");
+  JsonReader nested(resources, reader.PathOf("resources"), out);
   job.gang.per_task = ReadResources(nested);
   nested.Finish();
   reader.Finish();
@@ -146,10 +146,10 @@
           {"workspace", job.workspace.value()},
           {"kind", job.kind},
           {"tasks", job.gang.tasks},
-          {"per_task", std::move(resources)},
+          {"resources", std::move(resources)},
           {"adjacency", NameOf(kAdjacencies, job.gang.adjacency)},
           {"urgency", NameOf(kUrgencies, job.urgency)},
-          {"declared_run_time_ms", job.declared_run_time.count()},
+          {"declared_run_ms", job.declared_run_time.count()},
           {"can_checkpoint", job.can_checkpoint},
           {"max_failures", job.max_failures},
           {"payload", spec.payload}};
