Use the shared committer and the guarantee planner for settings

Two committers and two packings of guaranteed shapes would drift apart. Changes now go through cluster::Committer with the history row as witness, and guarantees are planned by the decision core itself, per region. An outcome that stays unknown for 10 s is reported as unknown; when it is settled later, the tree still comes into force.

--- a/servers/settings/settings_committer.cc
+++ b/servers/settings/settings_committer.cc
@@ -14,7 +14,8 @@
 constexpr int kMaxAttempts = 10;
 // How long an unknown outcome is pursued before the author is told so.
 constexpr Duration kSettleTime{10'000};
-constexpr BackoffOptions kSettleBackoff{Duration(100), Duration(2'000)};
+constexpr cluster::CommitterOptions kCommitterOptions{
+    {Duration(100), Duration(2'000)}};
 
 }  // namespace
 
@@ -51,27 +52,29 @@
   std::vector<std::string> keys;  // Rows whose versions are conditions.
   std::vector<Row> rows;
 
-  Transaction transaction;
-  bool outcome_unknown = false;
-  std::optional<TimePoint> settle_at;
-  TimePoint settle_end{};
+  // Set while the outcome of a transaction is open.
+  std::optional<TimePoint> settle_end;
 };
 
 SettingsCommitter::SettingsCommitter(Table& table,
                                      SettingsFetcher& fetcher,
-                                     std::string token_prefix,
+                                     const IncarnationId& incarnation,
                                      uint64_t seed)
     : table_(table),
       fetcher_(fetcher),
-      token_prefix_(std::move(token_prefix)),
-      backoff_(kSettleBackoff, seed) {}
+      // Another committer of the process may use the incarnation itself.
+      committer_(table,
+                 clock_,
+                 IncarnationId("settings-" + incarnation.value()),
+                 kCommitterOptions,
+                 seed) {}
 
 SettingsCommitter::~SettingsCommitter() = default;
 
 void SettingsCommitter::Submit(ChangeRequest request,
                                TimePoint now,
                                ChangeCallback done) {
-  now_ = now;
+  clock_.set_now(now);
   if (queue_.size() >= kMaxQueued) {
     ChangeResult result;
     result.version = fetcher_.tree().version();
@@ -88,11 +91,14 @@
 }
 
 void SettingsCommitter::Tick(TimePoint now) {
-  now_ = now;
-  if (active_ == nullptr || !active_->settle_at || now < *active_->settle_at)
+  clock_.set_now(now);
+  committer_.Tick(now);
+  if (active_ == nullptr || !active_->settle_end || now < *active_->settle_end)
     return;
-  active_->settle_at.reset();
-  Settle();
+  Finish(ChangeOutcome::kUnknown,
+         "the table service did not say whether the change took effect; see "
+         "the history entry of version " +
+             std::to_string(active_->next.version().value()));
 }
 
 void SettingsCommitter::StartNext() {
@@ -100,12 +106,11 @@
     return;
   active_ = std::move(queue_.front());
   queue_.pop_front();
-  backoff_.Reset();
   Prepare();
 }
 
 void SettingsCommitter::Prepare() {
-  active_->outcome_unknown = false;
+  active_->settle_end.reset();
   if (++active_->attempts > kMaxAttempts) {
     Finish(ChangeOutcome::kNotRun,
            "other changes kept coming first; try again");
@@ -237,26 +242,42 @@
 
 void SettingsCommitter::Send() {
   Change& change = *active_;
-  const ChangeRequest& request = change.request;
   const SettingsVersion version = change.base.version().Next();
   change.next.set_version(version);
+  for (const std::string& it : change.subtrees)
+    change.next.SetChanged(it, version);
   change.result.version = version;
-  Transaction& transaction = change.transaction;
-  transaction = Transaction();
-  transaction.token = TokenId(token_prefix_ + std::to_string(next_token_++));
+  std::vector<Condition> conditions;
   for (const Row& it : change.rows)
-    transaction.conditions.push_back({it.key, it.version});
-  transaction.conditions.push_back({HistoryKey(version), RowVersion()});
-  transaction.writes.push_back({kHeadKey, EncodeHead(version)});
+    conditions.push_back({it.key, it.version});
+  conditions.push_back({HistoryKey(version), RowVersion()});
+  change.settle_end = clock_.Now() + kSettleTime;
+  std::vector<Write> writes = MakeWrites();
+  // A late outcome finds another change, or none, active; the tree that it has
+  // committed still comes into force.
+  const auto on_result = [this, sent = ++last_sent_, tree = change.next](
+                             const cluster::CommitResult& result) {
+    if (active_ != nullptr && active_->settle_end && sent == last_sent_)
+      OnCommit(result);
+    else if (result.outcome == cluster::CommitOutcome::kCommitted)
+      fetcher_.Adopt(tree);
+  };
+  committer_.Commit(std::move(conditions), std::move(writes), on_result,
+                    HistoryKey(version));
+}
+
+std::vector<Write> SettingsCommitter::MakeWrites() {
+  Change& change = *active_;
+  const ChangeRequest& request = change.request;
+  const SettingsVersion version = change.next.version();
+  std::vector<Write> writes = {{kHeadKey, EncodeHead(version)}};
   for (const std::string& it : change.subtrees) {
-    change.next.SetChanged(it, version);
     const auto path = SettingsPath::Parse(it);
     const Json value = path.ok() ? change.next.Get(*path) : Json();
-    transaction.writes.push_back(
-        {SubtreeKey(it), EncodeSubtree({version, value})});
+    writes.push_back({SubtreeKey(it), EncodeSubtree({version, value})});
   }
   for (const DomainState& it : change.moved)
-    transaction.writes.push_back(
+    writes.push_back(
         {DomainKey(it.domain), EncodeDomain(it.in_service, version)});
   const HistoryEntry entry{version,
                            request.base_version,
@@ -267,71 +288,27 @@
                            request.wall_millis,
                            change.subtrees,
                            change.result.changes};
-  transaction.writes.push_back({HistoryKey(version), EncodeHistory(entry)});
-  change.settle_end = now_ + kSettleTime;
-  table_.Commit(transaction, Guard([this](const absl::Status& status) {
-                  OnCommit(status);
-                }));
+  writes.push_back({HistoryKey(version), EncodeHistory(entry)});
+  return writes;
 }
 
-void SettingsCommitter::OnCommit(const absl::Status& status) {
-  if (status.ok()) {
-    Accept();
-    return;
-  }
-  if (!active_->outcome_unknown && absl::IsAborted(status)) {
-    Prepare();
-    return;
-  }
-  if (!active_->outcome_unknown && absl::IsUnavailable(status)) {
-    Finish(ChangeOutcome::kNotRun, "the table service refused the change: " +
-                                       std::string(status.message()));
-    return;
+void SettingsCommitter::OnCommit(const cluster::CommitResult& result) {
+  switch (result.outcome) {
+    case cluster::CommitOutcome::kCommitted:
+      Accept();
+      return;
+    case cluster::CommitOutcome::kConflict:
+      Prepare();
+      return;
+    case cluster::CommitOutcome::kNotWritten:
+    case cluster::CommitOutcome::kInvalid:
+      Finish(ChangeOutcome::kNotRun,
+             "the table service refused the change: " + result.detail);
+      return;
+    case cluster::CommitOutcome::kOverwritten:
+      Finish(ChangeOutcome::kUnknown, result.detail);
+      return;
   }
-  // An earlier try with the same token may still take effect, so that from now
-  // on only the history row settles the outcome.
-  active_->outcome_unknown = true;
-  if (absl::IsUnavailable(status))
-    WaitToSettle();
-  else
-    Settle();
-}
-
-void SettingsCommitter::Settle() {
-  const std::string key = HistoryKey(active_->next.version());
-  table_.Read(key, Guard([this](const absl::StatusOr<Row>& row) {
-                if (row.ok()) {
-                  // Any other token means that another change took this
-                  // version; this one can never take effect.
-                  if (row->token == active_->transaction.token)
-                    Accept();
-                  else
-                    Prepare();
-                  return;
-                }
-                if (now_ >= active_->settle_end) {
-                  Finish(ChangeOutcome::kUnknown,
-                         "the table service did not say whether the change "
-                         "took effect; see the history entry of version " +
-                             std::to_string(active_->next.version().value()));
-                } else if (absl::IsNotFound(row.status())) {
-                  // The same transaction again: its conditions make it take
-                  // effect once at most.
-                  table_.Commit(active_->transaction,
-                                Guard([this](const absl::Status& status) {
-                                  if (status.ok())
-                                    Accept();
-                                  else
-                                    WaitToSettle();
-                                }));
-                } else {
-                  WaitToSettle();
-                }
-              }));
-}
-
-void SettingsCommitter::WaitToSettle() {
-  active_->settle_at = now_ + backoff_.Next();
 }
 
 void SettingsCommitter::Accept() {
--- a/servers/settings/settings_committer.h
+++ b/servers/settings/settings_committer.h
@@ -11,11 +11,11 @@
 #include <string_view>
 #include <vector>
 
-#include "core/backoff.h"
 #include "core/finding.h"
 #include "core/ids.h"
 #include "core/platform/table.h"
 #include "core/time.h"
+#include "servers/cluster/committer.h"
 #include "servers/settings/settings_fetcher.h"
 #include "servers/settings/settings_validator.h"
 
@@ -70,23 +70,36 @@
  public:
   using ChangeCallback = std::function<void(const ChangeResult&)>;
 
-  // `table` and `fetcher` must outlive the committer. `token_prefix` must be
-  // unique to this incarnation of the node.
+  // `table` and `fetcher` must outlive the committer. `incarnation` must be
+  // unique among all processes ever started.
   SettingsCommitter(Table& table,
                     SettingsFetcher& fetcher,
-                    std::string token_prefix,
+                    const IncarnationId& incarnation,
                     uint64_t seed);
   ~SettingsCommitter();
 
   void SetSite(KnownSite site) { site_ = std::move(site); }
   // Calls back later, at most once. A full queue answers at once.
   void Submit(ChangeRequest request, TimePoint now, ChangeCallback done);
-  // Settles unknown outcomes; call several times a second.
+  // Settles unknown outcomes; call several times a second. An outcome that
+  // stays unknown for 10 s is reported as such, and pursued further without a
+  // caller.
   void Tick(TimePoint now);
 
  private:
   struct Change;
 
+  // The time of the last call, for the back-off of unknown outcomes.
+  class TickClock : public Clock {
+   public:
+    TimePoint Now() const override { return now_; }
+    int64_t WallMillis() const override { return ToMillis(now_); }
+    void set_now(TimePoint now) { now_ = now; }
+
+   private:
+    TimePoint now_{};
+  };
+
   template <typename Callback>
   auto Guard(Callback callback) {
     return [alive = std::weak_ptr<bool>(alive_),
@@ -107,21 +120,18 @@
   // Whether the rows still are those of the tree that the plan is based on.
   bool RowsMatchPlan(const std::vector<Row>& rows) const;
   void Send();
-  void OnCommit(const absl::Status& status);
-  // Reads the history row to learn whether the transaction took effect.
-  void Settle();
-  void WaitToSettle();
+  std::vector<Write> MakeWrites();
+  void OnCommit(const cluster::CommitResult& result);
   void Accept();
   void Finish(ChangeOutcome outcome, std::string message = "");
 
   Table& table_;
   SettingsFetcher& fetcher_;
-  const std::string token_prefix_;
-  uint64_t next_token_ = 1;
   KnownSite site_;
-  Backoff backoff_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  TimePoint now_{};
+  TickClock clock_;
+  cluster::Committer committer_;
+  uint64_t last_sent_ = 0;  // Number of the latest transaction.
   std::unique_ptr<Change> active_;
   std::deque<std::unique_ptr<Change>> queue_;
 };
--- a/servers/settings/settings_service.cc
+++ b/servers/settings/settings_service.cc
@@ -38,10 +38,7 @@
     : table_(table),
       events_(events),
       fetcher_(table, peers),
-      committer_(table,
-                 fetcher_,
-                 "settings-" + options.incarnation.value() + "-",
-                 options.seed) {
+      committer_(table, fetcher_, options.incarnation, options.seed) {
   fetcher_.set_on_adopt([this](const SettingsTree& tree) { OnInForce(tree); });
 }
 
--- a/servers/settings/settings_validator.cc
+++ b/servers/settings/settings_validator.cc
@@ -1,12 +1,12 @@
 #include "servers/settings/settings_validator.h"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <string>
 #include <utility>
 
 #include "core/yaml_reader.h"
+#include "servers/scheduling/guarantee_planner.h"
 #include "servers/settings/schema.h"
 
 namespace quetzalshelf::settings {
@@ -14,137 +14,53 @@
 namespace {
 
 using scheduling::Adjacency;
-using scheduling::Shape;
 using scheduling::UnheldGuarantee;
 using scheduling::Worker;
 using scheduling::Workspace;
 
-// The free capacity of one worker while shapes are placed.
-struct FreeWorker {
-  const Worker* worker;
-  Resources free;
-};
-
-// Workers that are adjacent for one kind of shape.
-using Group = std::vector<FreeWorker*>;
-
-// One guaranteed shape to place.
-struct Demand {
-  size_t workspace;
-  int guarantee;
-  const Shape* shape;
-};
-
-std::string GroupName(const Worker& worker,
-                      const KnownSite& site,
-                      Adjacency adjacency) {
-  switch (adjacency) {
-    case Adjacency::kWorker:
-      return worker.id.value();
-    case Adjacency::kRack:
-      return worker.domain.value() + "/" + worker.rack.value();
-    case Adjacency::kDomain:
-      return worker.domain.value();
-    case Adjacency::kRegion: {
-      const auto it = site.domains.find(worker.domain);
-      return it == site.domains.end() ? "" : it->second.value();
-    }
-  }
-  return "";
-}
-
-int64_t FreeSlots(const Resources& free, const Resources& task) {
-  int64_t slots = std::numeric_limits<int64_t>::max();
-  const auto limit = [&slots](int64_t have, int64_t need) {
-    if (need > 0)
-      slots = std::min(slots, std::max<int64_t>(have, 0) / need);
-  };
-  limit(free.accelerators.value(), task.accelerators.value());
-  limit(free.cpu.value(), task.cpu.value());
-  limit(free.memory.value(), task.memory.value());
-  return slots;
-}
+// Shapes missing, by workspace and index of the guarantee.
+using Missing = std::map<std::pair<WorkspaceId, int>, int>;
 
-int64_t GroupSlots(const Group& group, const Shape& shape) {
-  int64_t slots = 0;
-  for (const FreeWorker* it : group) {
-    slots +=
-        std::min<int64_t>(FreeSlots(it->free, shape.per_task), shape.tasks);
-  }
-  return slots;
-}
-
-// Takes the capacity of one shape from the group, fullest workers first.
-void Take(Group group, const Shape& shape) {
-  std::stable_sort(group.begin(), group.end(),
-                   [](const FreeWorker* a, const FreeWorker* b) {
-                     return a->free.accelerators < b->free.accelerators;
-                   });
-  int64_t left = shape.tasks;
-  for (FreeWorker* it : group) {
-    const int64_t taken = std::min(left, FreeSlots(it->free, shape.per_task));
-    it->free -= shape.per_task * taken;
-    left -= taken;
-  }
-}
-
-// Places shapes on free workers.
-class ShapePacker {
+// Numbers names in the order of their appearance.
+class Numbering {
  public:
-  ShapePacker(const KnownSite& site, const std::set<DomainId>& out) {
-    for (const Worker& it : site.workers) {
-      if (!out.contains(it.domain))
-        free_.push_back({&it, it.capacity});
-    }
-    for (const Adjacency adjacency : {Adjacency::kWorker, Adjacency::kRack,
-                                      Adjacency::kDomain, Adjacency::kRegion}) {
-      for (FreeWorker& it : free_)
-        groups_[adjacency][GroupName(*it.worker, site, adjacency)].push_back(
-            &it);
-    }
-  }
-
-  // Places the shape in the group that it leaves the fullest.
-  bool Place(const Shape& shape) {
-    const Group* best = nullptr;
-    int64_t best_slots = 0;
-    for (const auto& [name, group] : groups_[shape.adjacency]) {
-      const int64_t slots = GroupSlots(group, shape);
-      if (slots < shape.tasks || (best != nullptr && slots >= best_slots))
-        continue;
-      best = &group;
-      best_slots = slots;
-    }
-    if (best == nullptr)
-      return false;
-    Take(*best, shape);
-    return true;
+  uint32_t operator()(const std::string& name) {
+    return numbers_.emplace(name, static_cast<uint32_t>(numbers_.size()))
+        .first->second;
   }
 
  private:
-  std::vector<FreeWorker> free_;
-  std::map<Adjacency, std::map<std::string, Group>> groups_;
+  std::map<std::string, uint32_t> numbers_;
 };
 
-std::vector<Demand> SortedDemands(const std::vector<Workspace>& workspaces) {
-  std::vector<Demand> demands;
-  for (size_t i = 0; i < workspaces.size(); ++i) {
-    const auto& guarantees = workspaces[i].guarantees;
-    for (size_t k = 0; k < guarantees.size(); ++k) {
-      for (int n = 0; n < guarantees[k].count; ++n)
-        demands.push_back({i, static_cast<int>(k), &guarantees[k].shape});
-    }
+RegionId RegionOf(const KnownSite& site, const DomainId& domain) {
+  const auto it = site.domains.find(domain);
+  return it == site.domains.end() ? RegionId() : it->second;
+}
+
+// What the planner of one region cannot hold.
+Missing MissingIn(const RegionId& region,
+                  const std::vector<Workspace>& workspaces,
+                  const KnownSite& site,
+                  const std::set<DomainId>& out) {
+  scheduling::GuaranteePlanner planner;
+  Numbering racks;
+  Numbering domains;
+  scheduling::WorkerIndex index = 0;
+  for (const Worker& it : site.workers) {
+    if (out.contains(it.domain) || RegionOf(site, it.domain) != region)
+      continue;
+    planner.AddWorker(index, racks(it.domain.value() + "/" + it.rack.value()),
+                      domains(it.domain.value()));
+    planner.SetCapacity(index, it.capacity);
+    ++index;
   }
-  std::stable_sort(
-      demands.begin(), demands.end(), [](const Demand& a, const Demand& b) {
-        const auto key = [](const Demand& it) {
-          return std::pair(
-              it.shape->adjacency,
-              -it.shape->per_task.accelerators.value() * it.shape->tasks);
-        };
-        return key(a) < key(b);
-      });
-  return demands;
+  planner.SetWorkspaces(workspaces);
+  planner.Plan();
+  Missing missing;
+  for (const UnheldGuarantee& it : planner.Unheld())
+    missing[{it.workspace, it.guarantee}] = it.missing;
+  return missing;
 }
 
 std::string AdjacencyText(Adjacency adjacency) {
@@ -161,6 +77,14 @@
   return "";
 }
 
+std::string UnheldReason(const scheduling::Guarantee& guarantee, int count) {
+  return std::to_string(count) + " of " + std::to_string(guarantee.count) +
+         " shapes (" + std::to_string(guarantee.shape.tasks) + " tasks of " +
+         std::to_string(guarantee.shape.per_task.accelerators.value()) +
+         " accelerators " + AdjacencyText(guarantee.shape.adjacency) +
+         ") do not fit on the known workers next to the other guarantees";
+}
+
 std::string GuaranteePath(const UnheldGuarantee& unheld) {
   return IndexPath("teams/" + unheld.workspace.value() + "/guarantees",
                    static_cast<size_t>(unheld.guarantee));
@@ -328,24 +252,25 @@
     const std::vector<Workspace>& workspaces,
     const KnownSite& site,
     const std::set<DomainId>& out) {
-  ShapePacker packer(site, out);
-  std::map<std::pair<size_t, int>, int> missing;
-  for (const Demand& it : SortedDemands(workspaces)) {
-    if (!packer.Place(*it.shape))
-      ++missing[{it.workspace, it.guarantee}];
-  }
+  std::set<RegionId> regions;
+  for (const Worker& it : site.workers)
+    regions.insert(RegionOf(site, it.domain));
+  std::vector<Missing> missing;
+  for (const RegionId& it : regions)
+    missing.push_back(MissingIn(it, workspaces, site, out));
   std::vector<UnheldGuarantee> unheld;
-  for (const auto& [place, count] : missing) {
-    const Workspace& workspace = workspaces[place.first];
-    const auto& guarantee =
-        workspace.guarantees[static_cast<size_t>(place.second)];
-    const std::string reason =
-        std::to_string(count) + " of " + std::to_string(guarantee.count) +
-        " shapes (" + std::to_string(guarantee.shape.tasks) + " tasks of " +
-        std::to_string(guarantee.shape.per_task.accelerators.value()) +
-        " accelerators " + AdjacencyText(guarantee.shape.adjacency) +
-        ") do not fit on the known workers next to the other guarantees";
-    unheld.push_back({workspace.id, place.second, count, reason});
+  for (const Workspace& workspace : workspaces) {
+    for (size_t i = 0; i < workspace.guarantees.size(); ++i) {
+      const int index = static_cast<int>(i);
+      int count = workspace.guarantees[i].count;
+      for (const Missing& region : missing) {
+        const auto it = region.find({workspace.id, index});
+        count = std::min(count, it == region.end() ? 0 : it->second);
+      }
+      if (count > 0)
+        unheld.push_back({workspace.id, index, count,
+                          UnheldReason(workspace.guarantees[i], count)});
+    }
   }
   return unheld;
 }
--- a/servers/settings/settings_validator.h
+++ b/servers/settings/settings_validator.h
@@ -36,8 +36,8 @@
                                   const KnownSite& site);
 
 // The guaranteed shapes that the workers cannot hold all together, with those
-// in `out` left out. Shapes are placed the largest and closest first; a set of
-// shapes that only an exhaustive search could place is reported as not held.
+// in `out` left out, as planned anew by the decision core. With several
+// regions, a shape is held where any region holds it.
 std::vector<scheduling::UnheldGuarantee> FindUnheldGuarantees(
     const std::vector<scheduling::Workspace>& workspaces,
     const KnownSite& site,
--- a/tests/settings/settings_tree_test.cc
+++ b/tests/settings/settings_tree_test.cc
@@ -138,6 +138,16 @@
         "teams/plaza/quota_accelerators");
 }
 
+// Guards against a gang of a guarantee that only two regions together hold.
+TEST_CASE("A shape must fit within one region") {
+  KnownSite site = TwoDomains();
+  const SettingsTree tree = WithGuarantee(8, 8, "region", 1);
+  CHECK(ValidateSettings(SettingsTree(), tree, site).findings.empty());
+  site.domains[DomainId("west")] = RegionId("other");
+  CHECK(ValidateSettings(SettingsTree(), tree, site).findings.items().size() ==
+        1);
+}
+
 // Guards against lost workers blocking changes that do no further harm.
 TEST_CASE("A guarantee that did not fit before is a warning only") {
   const SettingsTree before = WithGuarantee(2, 8, "rack", 9);
@@ -158,6 +168,8 @@
   CHECK(result.findings.empty());
   REQUIRE(result.warnings.items().size() == 2);
   CHECK(result.warnings.items()[1].place.path == "teams/plaza/guarantees[0]");
+  after.Set(Path("site/domains/west/in_service"), false);
+  CHECK(ValidateSettings(before, after, TwoDomains()).findings.empty());
   after = before;
   after.Set(Path("site/domains/esat/in_service"), false);
   CHECK(ValidateSettings(before, after, TwoDomains()).findings.items().size() ==
