--- a/main/ctl/job_commands.cc
+++ b/main/ctl/job_commands.cc
@@ -134,6 +134,17 @@
   return outcome == "not_run" ? Exit::kRefused : Exit::kUnknown;
 }
 
+// One line for each task, in the order of the tasks.
+std::string TaskResults(const Json& result) {
+  std::string text;
+  for (const Json& it : List(result, "tasks")) {
+    if (!text.empty())
+      text += "\n";
+    text += it.is_string() ? it.get<std::string>() : it.dump();
+  }
+  return text;
+}
+
 }  // namespace
 
 Exit JobSubmit(Context& context, const JobOptions& options) {
@@ -212,7 +223,7 @@
   if (!reply.ok())
     return ReportFailure(context, reply);
   const std::string result =
-      context.json ? reply.body.dump() : Text(reply.body, "result");
+      context.json ? reply.body.dump() : TaskResults(reply.body);
   if (file.empty()) {
     context.out << result << "\n";
     return Exit::kOk;
