--- a/drivers/http/api_error.cc
+++ b/drivers/http/api_error.cc
@@ -76,7 +76,7 @@
     return std::nullopt;
   JsonReader root(*json, "", faults);
   JsonReader reader(root.RequireObject("error"), "error", faults);
-  constexpr size_t kMaxMessageBytes = 64 * 1024;
+  constexpr size_t kMaxMessageBytes = size_t{64} * 1024;
   ApiError error;
   error.code = reader.RequireString("code");
   error.message = reader.RequireString("message", kMaxMessageBytes);
--- a/drivers/http/http_server.cc
+++ b/drivers/http/http_server.cc
@@ -308,7 +308,7 @@
     return late;
   }
 
-  void Write(HttpResponse response, httplib::Response& res) {
+  void Write(const HttpResponse& response, httplib::Response& res) {
     res.status = response.status;
     size_t n = response.body.size() + response.content_type.size();
     for (const HttpField& it : response.headers)
--- a/drivers/platform/http_object_store.cc
+++ b/drivers/platform/http_object_store.cc
@@ -33,10 +33,10 @@
   HttpCall call = MakePlatformCall(address_, "PUT", TargetOf(name));
   call.body = std::move(content);
   call.content_type = "application/octet-stream";
-  caller_.Call(std::move(call),
-               [done = std::move(done)](absl::StatusOr<HttpResponse> reply) {
-                 done(PlatformStatus(reply));
-               });
+  caller_.Call(std::move(call), [done = std::move(done)](
+                                    const absl::StatusOr<HttpResponse>& reply) {
+    done(PlatformStatus(reply));
+  });
 }
 
 }  // namespace quetzalshelf
--- a/drivers/platform/http_table.cc
+++ b/drivers/platform/http_table.cc
@@ -15,10 +15,11 @@
 
 void HttpTable::Read(const std::string& key, ReadCallback done) {
   const std::string target = "/table/read?key=" + PercentEncode(key, true);
-  caller_.Call(MakePlatformCall(address_, "GET", target),
-               [done = std::move(done)](absl::StatusOr<HttpResponse> reply) {
-                 done(DecodeReply<Row>(reply, &DecodeRow));
-               });
+  caller_.Call(
+      MakePlatformCall(address_, "GET", target),
+      [done = std::move(done)](const absl::StatusOr<HttpResponse>& reply) {
+        done(DecodeReply<Row>(reply, &DecodeRow));
+      });
 }
 
 void HttpTable::ReadPrefix(const std::string& prefix,
@@ -29,10 +30,11 @@
       "/table/scan?prefix=" + PercentEncode(prefix, true) +
       "&after=" + PercentEncode(after, true) +
       "&limit=" + std::to_string(limit);
-  caller_.Call(MakePlatformCall(address_, "GET", target),
-               [done = std::move(done)](absl::StatusOr<HttpResponse> reply) {
-                 done(DecodeReply<std::vector<Row>>(reply, &DecodeRows));
-               });
+  caller_.Call(
+      MakePlatformCall(address_, "GET", target),
+      [done = std::move(done)](const absl::StatusOr<HttpResponse>& reply) {
+        done(DecodeReply<std::vector<Row>>(reply, &DecodeRows));
+      });
 }
 
 void HttpTable::Commit(Transaction transaction, CommitCallback done) {
@@ -44,10 +46,10 @@
     return;
   }
   call.body = *std::move(body);
-  caller_.Call(std::move(call),
-               [done = std::move(done)](absl::StatusOr<HttpResponse> reply) {
-                 done(PlatformStatus(reply));
-               });
+  caller_.Call(std::move(call), [done = std::move(done)](
+                                    const absl::StatusOr<HttpResponse>& reply) {
+    done(PlatformStatus(reply));
+  });
 }
 
 }  // namespace quetzalshelf
--- a/drivers/platform/http_vm_list.cc
+++ b/drivers/platform/http_vm_list.cc
@@ -11,10 +11,11 @@
     : caller_(caller), address_(std::move(address)) {}
 
 void HttpVmList::List(ListCallback done) {
-  caller_.Call(MakePlatformCall(address_, "GET", "/vms"),
-               [done = std::move(done)](absl::StatusOr<HttpResponse> reply) {
-                 done(DecodeReply<std::vector<Vm>>(reply, &DecodeVms));
-               });
+  caller_.Call(
+      MakePlatformCall(address_, "GET", "/vms"),
+      [done = std::move(done)](const absl::StatusOr<HttpResponse>& reply) {
+        done(DecodeReply<std::vector<Vm>>(reply, &DecodeVms));
+      });
 }
 
 }  // namespace quetzalshelf
--- a/drivers/platform/platform_call.cc
+++ b/drivers/platform/platform_call.cc
@@ -17,8 +17,7 @@
 }
 
 absl::Status PlatformStatus(const absl::StatusOr<HttpResponse>& response) {
-  const absl::Status status =
-      response.ok() ? StatusOf(*response) : response.status();
+  absl::Status status = response.ok() ? StatusOf(*response) : response.status();
   switch (status.code()) {
     case absl::StatusCode::kOk:
     case absl::StatusCode::kNotFound:
--- a/drivers/worker/http_worker_port.cc
+++ b/drivers/worker/http_worker_port.cc
@@ -11,8 +11,7 @@
 namespace {
 
 absl::Status WorkerStatus(const absl::StatusOr<HttpResponse>& response) {
-  const absl::Status status =
-      response.ok() ? StatusOf(*response) : response.status();
+  absl::Status status = response.ok() ? StatusOf(*response) : response.status();
   switch (status.code()) {
     case absl::StatusCode::kOk:
     case absl::StatusCode::kFailedPrecondition:
--- a/standins/backend/backend_service.cc
+++ b/standins/backend/backend_service.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr int64_t kMaxMillis = 24 * 3'600'000;
+constexpr int64_t kMaxMillis = int64_t{24} * 3'600'000;
 constexpr int64_t kMaxFaultCount = 1'000'000;
 
 // Takes one of the next `count` faults.
--- a/standins/platform/platform_service.cc
+++ b/standins/platform/platform_service.cc
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr int kMaxScanRows = 10'000;
-constexpr int64_t kMaxMillis = 24 * 3'600'000;
+constexpr int64_t kMaxMillis = int64_t{24} * 3'600'000;
 constexpr int64_t kMaxFaultCount = 1'000'000;
 
 // The fields of `POST /control/faults`; absent ones keep their value.
--- a/tests/drivers/memory_platform_test.cc
+++ b/tests/drivers/memory_platform_test.cc
@@ -29,7 +29,7 @@
   absl::Status Commit(Transaction transaction) {
     std::optional<absl::Status> result;
     table.Commit(std::move(transaction),
-                 [&](absl::Status status) { result = status; });
+                 [&](const absl::Status& status) { result = status; });
     CHECK_FALSE(result.has_value());
     runner.RunReady();
     REQUIRE(result.has_value());
@@ -184,13 +184,15 @@
   MemoryObjectStore store(runner);
   const auto put = [&](const std::string& content) {
     absl::Status result;
-    store.Put("o", content, [&](absl::Status status) { result = status; });
+    store.Put("o", content,
+              [&](const absl::Status& status) { result = status; });
     runner.RunReady();
     return result;
   };
   const auto get = [&] {
     absl::StatusOr<std::string> result;
-    store.Get("o", [&](absl::StatusOr<std::string> it) { result = it; });
+    store.Get("o",
+              [&](absl::StatusOr<std::string> it) { result = std::move(it); });
     runner.RunReady();
     return result;
   };
