--- a/servers/jobs/job_service_recovery.cc
+++ b/servers/jobs/job_service_recovery.cc
@@ -24,8 +24,12 @@
   load_in_flight_ = false;
   const TimePoint now = deps_.clock.Now();
   if (!status.ok()) {
-    LOG(ERROR) << "shard " << deps_.ownership.region()
-               << " cannot be rebuilt: " << status.message();
+    // An outage is told once, and a row that cannot be read whenever it
+    // changes.
+    if (readiness_.code() != status.code() || !absl::IsUnavailable(status)) {
+      LOG(WARNING) << "shard " << deps_.ownership.region()
+                   << " cannot be rebuilt yet: " << status.message();
+    }
     readiness_ = status;
     next_load_ = now + options_.store_retry;
     return;
--- a/tests/jobs/job_world.cc
+++ b/tests/jobs/job_world.cc
@@ -110,6 +110,7 @@
       Tick(*previous);
     runner.Advance(kTick);
     Watch();
+    WatchRows();
   }
   return done();
 }
@@ -149,6 +150,17 @@
   }
 }
 
+void JobWorld::WatchRows() {
+  for (auto& [job, result] : watched) {
+    const std::optional<JobRecord> record = StoredRecord(job);
+    const std::string present = record ? record->result : "";
+    if (result.empty())
+      result = present;
+    else if (result != present)
+      ++republished;
+  }
+}
+
 JobSpec JobWorld::Spec(const std::string& id,
                        int tasks,
                        Duration run_time) const {
@@ -189,6 +201,7 @@
 }
 
 std::optional<std::string> JobWorld::Result(const std::string& id) {
+  const StoreFaults kept = std::exchange(objects.faults(), {});
   std::optional<std::string> found;
   owner->service.Result(JobId(id),
                         [&](const absl::StatusOr<std::string>& answer) {
@@ -196,6 +209,7 @@
                             found = *answer;
                         });
   runner.RunReady();
+  objects.faults() = kept;
   return found;
 }
 
--- a/tests/jobs/job_world.h
+++ b/tests/jobs/job_world.h
@@ -107,12 +107,16 @@
   // When each domain last left; absent while in service.
   std::map<DomainId, TimePoint> exits;
   int late_starts = 0;  // Later than 3 s after the exit of the domain.
+  // Jobs whose rows are watched, with the result that they named first.
+  std::map<std::string, std::string> watched;
+  int republished = 0;  // Visible results that changed or vanished.
   uint64_t seed;
 
  private:
   void CommitRow(const std::string& key, const std::string& value);
   void Tick(Owner& it);
   void Watch();
+  void WatchRows();
 
   uint64_t epoch_ = 0;
   uint64_t tokens_ = 0;
