--- a/bench/comparison.h
+++ b/bench/comparison.h
@@ -36,6 +36,7 @@
   size_t workers = 0;
   size_t jobs = 0;
   double traced_hours = 0;  // Of arrivals.
+  double offered_load = 0;  // Mean of the traces.
   int64_t jobs_compared = 0;
   Pair completion_mean_s;
   Pair completion_p99_s;
--- a/bench/trace.cc
+++ b/bench/trace.cc
@@ -62,6 +62,7 @@
     }
     AddBursts();
     SortJobs();
+    trace_.offered_load = OfferedLoad();
     AddCancelWaves();
     if (with_faults) {
       AddWorkerFailures();
@@ -94,6 +95,17 @@
                 share(task.memory.value(), capacity.memory.value())});
   }
 
+  // Work of all jobs that can finish, relative to all workers all the time.
+  double OfferedLoad() const {
+    double work = 0;
+    for (const TraceJob& it : trace_.jobs) {
+      work += it.runnable
+                  ? Weight(it.job) * static_cast<double>(it.run_time.count())
+                  : 0;
+    }
+    return work / (capacity_ * static_cast<double>(spec_.arrivals.count()));
+  }
+
   TraceJob DrawJob(const JobKind& kind, TimePoint submit) {
     TraceJob out;
     out.submit = submit;
@@ -173,12 +185,19 @@
     }
   }
 
+  const JobKind& PickSmall() {
+    return spec_.kinds[1 + random_.Below(spec_.kinds.size() - 1)];
+  }
+
   // Small and large jobs at the same moment.
   void AddBursts() {
     for (Duration at{0}; at < spec_.arrivals; at += spec_.burst_every) {
       for (int n = 0; n < spec_.burst_jobs; ++n) {
         const TimePoint submit{at + Duration(random_.Below(1'000))};
-        AddJob(DrawJob(Pick(random_, spec_.kinds), submit));
+        const JobKind& kind = random_.Chance(spec_.burst_large_share)
+                                  ? spec_.kinds.front()
+                                  : PickSmall();
+        AddJob(DrawJob(kind, submit));
       }
     }
   }
--- a/bench/trace.h
+++ b/bench/trace.h
@@ -57,6 +57,7 @@
   std::vector<Worker> workers;
   std::vector<TraceJob> jobs;  // Ascending by `submit`.
   std::vector<Fault> faults;   // Ascending by `at`.
+  double offered_load = 0;     // Relative to all workers while jobs arrive.
   TimePoint last_arrival;
   TimePoint drain_end;  // A job without an outcome by then is lost.
   // Workers of a domain stop so long after it was taken out.
@@ -85,14 +86,15 @@
   std::vector<Workspace> workspaces;
   std::vector<Worker> workers;
   std::vector<DomainId> domains;
-  std::vector<JobKind> kinds;
-  Duration arrivals{0};  // Length of the period of arrivals.
+  std::vector<JobKind> kinds;  // The first one has the large gangs.
+  Duration arrivals{0};        // Length of the period of arrivals.
   Duration drain{0};
   double base_load = 0.8;   // Offered relative to all accelerators.
   double burst_load = 1.1;  // In bursts.
   Duration burst_every{0};
   Duration burst_length{0};
   int burst_jobs = 0;  // Arrive at the same moment when a burst begins.
+  double burst_large_share = 0.1;  // Of them, of the first kind.
   Duration domain_out_length{0};
   // Workers of a domain stop that long after it was taken out.
   Duration domain_notice{0};
