--- a/bench/deployments.cc
+++ b/bench/deployments.cc
@@ -21,9 +21,11 @@
                                 int workers,
                                 const Resources& capacity) {
   std::vector<Worker> out;
-  const int per_domain = workers / static_cast<int>(domains.size());
-  for (const DomainId& domain : domains) {
-    for (int n = 0; n < per_domain; ++n) {
+  const int count = static_cast<int>(domains.size());
+  for (int index = 0; index < count; ++index) {
+    const DomainId& domain = domains[static_cast<size_t>(index)];
+    const int here = workers / count + (index < workers % count ? 1 : 0);
+    for (int n = 0; n < here; ++n) {
       const std::string rack =
           domain.value() + "-rack-" + std::to_string(n / kWorkersPerRack);
       const std::string id = domain.value() + "-worker-" + std::to_string(n);
@@ -141,6 +143,7 @@
   return out;
 }
 
+constexpr int kTargetWorkers = 11'000;
 constexpr int kTargetRegions = 6;
 constexpr int kTargetDomainsPerRegion = 4;
 constexpr int kTargetWorkspaces = 170;
@@ -165,13 +168,13 @@
 // Half of the tasks and more need no accelerator, so that 240,000 tasks run on
 // 88,000 accelerators.
 std::vector<JobKind> TargetKinds(const std::vector<Workspace>& workspaces) {
-  JobKind train{"train", 0.55,      Urgency::kPatient, 0,
+  JobKind train{"train", 0.666,     Urgency::kPatient, 0,
                 true,    1 * kHour, 8 * kHour};
   train.shapes = {{8, Make(4, 16, 64), Adjacency::kRack},
                   {64, Make(1, 4, 16), Adjacency::kDomain},
                   {256, Make(1, 4, 16), Adjacency::kRegion},
                   {1'024, Make(1, 4, 16), Adjacency::kRegion}};
-  JobKind data{"data", 0.446, Urgency::kNormal, 0, true, 1 * kHour, 6 * kHour};
+  JobKind data{"data", 0.33, Urgency::kNormal, 0, true, 1 * kHour, 6 * kHour};
   data.shapes = {{64, Make(0, 1, 4), Adjacency::kRegion},
                  {256, Make(0, 1, 4), Adjacency::kRegion},
                  {512, Make(0, 1, 4), Adjacency::kRegion}};
@@ -198,18 +201,18 @@
       MakeWorkers(out.domains, 11'000 / kTargetRegions, Make(8, 64, 256));
   out.workspaces = TargetWorkspaces();
   out.kinds = TargetKinds(out.workspaces);
-  out.arrivals = 1 * kHour;
+  out.arrivals = 3 * kHour;
   out.drain = 30 * kHour;
   out.base_load = 0.8;
   out.burst_load = 1.1;
-  out.burst_every = 30 * kMinute;
-  out.burst_length = 10 * kMinute;
+  out.burst_every = 60 * kMinute;
+  out.burst_length = 20 * kMinute;
   out.burst_jobs = 10;
-  out.domain_out_length = 6 * kMinute;
+  out.domain_out_length = 15 * kMinute;
   out.domain_notice = 3 * kMinute;
   out.worker_failure_every = 2 * kMinute;
   out.domain_out_limit = 10 * kSecond;
-  out.initial_load = 0.75;
+  out.initial_load = 0.8;
   return out;
 }
 
--- a/bench/trace.cc
+++ b/bench/trace.cc
@@ -13,7 +13,7 @@
 constexpr double kFailsOnceChance = 0.03;
 constexpr double kCancelChance = 0.3;  // Of the recent jobs, in a wave.
 constexpr int kCancelWaves = 3;
-constexpr Duration kCancelWindow{30 * 60'000};
+constexpr int kCancelWindowShare = 20;  // Of the arrivals: one in so many.
 constexpr Duration kCancelSpread{5'000};
 constexpr Duration kMinOutage{3 * 60'000};
 constexpr Duration kMaxOutage{30 * 60'000};
@@ -221,7 +221,8 @@
       const Duration wave = spec_.arrivals * n / (kCancelWaves + 1);
       for (size_t job = 0; job < trace_.jobs.size(); ++job) {
         const Duration submit = trace_.jobs[job].submit.time_since_epoch();
-        if (submit <= wave && submit > wave - kCancelWindow &&
+        if (submit <= wave &&
+            submit > wave - spec_.arrivals / kCancelWindowShare &&
             random_.Chance(kCancelChance)) {
           const auto spread = static_cast<uint64_t>(kCancelSpread.count());
           AddFault(wave + Duration(random_.Below(spread)), FaultKind::kCancel,
