--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -199,7 +199,7 @@
   gang.since = now_;
   gang.progress =
       options_.resume_from_checkpoint ? gang.checkpoint : Duration(0);
-  gang.percent = 100;
+  SetThrottle(job, 100);
   ++result_.jobs[job].starts;
   running_tasks_ += it.job.gang.tasks;
   result_.most_tasks_running =
@@ -274,8 +274,9 @@
 
 void Driver::OnUsage(const Event& event) {
   const TraceJob& it = trace_.jobs[event.index];
+  const double share = it.use_factor * gangs_[event.index].throttle / 100;
   const Accelerators used(static_cast<int64_t>(
-      it.use_factor * static_cast<double>(GangAccelerators(it.job))));
+      share * static_cast<double>(GangAccelerators(it.job))));
   Tell([&] {
     return scheduler_.UsageReported(it.job.id, event.attempt, used, now_);
   });
@@ -443,7 +444,7 @@
   const std::optional<size_t> job = FindHeld(throttle.job, throttle.attempt);
   if (job && gangs_[*job].phase == Phase::kRunning) {
     Advance(*job);
-    gangs_[*job].percent = std::clamp(throttle.percent, 1, 100);
+    SetThrottle(*job, throttle.percent);
     ScheduleEnd(*job);
   }
 }
@@ -480,11 +481,21 @@
         .progress = gangs_[job].progress});
 }
 
+// Run times hold at the declared size: a gang that uses more is not faster, and
+// one that is throttled to its declared size is not slower.
+void Driver::SetThrottle(size_t job, int percent) {
+  Gang& gang = gangs_[job];
+  gang.throttle = std::clamp(percent, 1, 100);
+  const double use = std::max(1.0, trace_.jobs[job].use_factor);
+  gang.speed_percent =
+      std::max(1, static_cast<int>(std::min(100.0, gang.throttle * use)));
+}
+
 void Driver::ScheduleEnd(size_t job) {
   Gang& gang = gangs_[job];
   ++gang.version;
   const Duration rest = trace_.jobs[job].run_time - gang.progress;
-  PushGang(EventKind::kFinished, job, rest * 100 / gang.percent);
+  PushGang(EventKind::kFinished, job, rest * 100 / gang.speed_percent);
 }
 
 void Driver::ScheduleFailure(size_t job) {
@@ -519,7 +530,7 @@
     return;
   }
   const TraceJob& it = trace_.jobs[job];
-  const Duration done = std::min((now_ - gang.since) * gang.percent / 100,
+  const Duration done = std::min((now_ - gang.since) * gang.speed_percent / 100,
                                  it.run_time - gang.progress);
   gang.progress += done;
   gang.since = now_;
@@ -532,7 +543,7 @@
       accelerators * static_cast<double>((done - fresh).count()) / 1e3;
   if (fresh.count() > 0) {
     result_.work.push_back(
-        {job, now_ - fresh * 100 / gang.percent, now_,
+        {job, now_ - fresh * 100 / gang.speed_percent, now_,
          accelerators * static_cast<double>(fresh.count()) / 1e3});
   }
 }
--- a/bench/driver.h
+++ b/bench/driver.h
@@ -99,7 +99,8 @@
     Duration progress{0};           // Of this attempt.
     Duration checkpoint{0};         // The last one saved.
     Duration best{0};               // Most progress ever made.
-    int percent = 100;              // Of full speed.
+    int throttle = 100;             // Percent, as commanded.
+    int speed_percent = 100;        // Of the speed at the declared size.
     size_t refused_by = 0;          // The worker that made a start fail.
     bool failed_once = false;
     Outcome closing = Outcome::kNone;  // Set once the job must end.
@@ -144,6 +145,7 @@
 
   std::optional<size_t> FindHeld(const JobId& id, Attempt attempt) const;
   void StartCheckpoint(size_t job);
+  void SetThrottle(size_t job, int percent);
   void ScheduleEnd(size_t job);
   void ScheduleFailure(size_t job);
   // Brings the progress of a running gang up to now and books its work.
--- a/bench/trace.h
+++ b/bench/trace.h
@@ -24,7 +24,7 @@
 struct TraceJob {
   Job job;
   TimePoint submit;
-  Duration run_time{0};  // Actual, at full speed.
+  Duration run_time{0};  // Actual, with the declared size.
   bool runnable = true;  // False: it never fits or fails in every attempt.
   bool fails_always = false;
   bool fails_once = false;  // One task fails once, after `fail_after`.
