Check coverage against what the scheduler has charged since the start

A home that is bound elsewhere charges gangs of its owner that already run there. JobExplanation says whether a gang is charged; the oracle accepts a claim only while the sum of the guarantees covers it.

--- a/bench/guarantee_book.h
+++ b/bench/guarantee_book.h
@@ -35,16 +35,21 @@
 
   // Whether the gang fits in what no guaranteed gang of the workspace uses.
   bool Covers(const scheduling::Shape& gang) const;
-  // Charges a running gang to the tightest part that holds it. A gang that the
-  // guarantees do not cover is not charged.
-  void Charge(const JobId& job, const scheduling::Shape& gang);
+  // Charges a running gang: to the tightest part that holds it and, in any
+  // case, to the sum, because it may occupy slices together that it does not
+  // fit one by one. Returns false, and charges nothing, when the sum is used
+  // up.
+  bool Charge(const JobId& job, const scheduling::Shape& gang);
   void Release(const JobId& job);
 
+  bool IsCharged(const JobId& job) const;
+
   const std::vector<GuaranteeBlock>& blocks() const { return blocks_; }
 
  private:
   struct Charged {
     Resources per_task;
+    Resources total;
     std::vector<GuaranteeUse> uses;
   };
 
@@ -54,6 +59,7 @@
   std::vector<GuaranteeUse> FindAcross(const scheduling::Shape& gang) const;
 
   std::vector<GuaranteeBlock> blocks_;
+  Resources unused_;  // Sum of all slices less what is charged.
   std::map<JobId, Charged> charged_;
 };
 
--- a/bench/guarantee_watch.h
+++ b/bench/guarantee_watch.h
@@ -48,6 +48,12 @@
   // Capacity was lost; every gang that waits has a new deadline.
   void RestartClocks(TimePoint now);
 
+  // Charges a running gang to its workspace's guarantees, if they cover it, or
+  // ends the charge. Returns whether the charge is as wanted.
+  bool SetCharged(const scheduling::Job& job, bool charged);
+  // Workspaces with a covered gang that has waited half of the time allowed.
+  std::vector<WorkspaceId> Pressed(TimePoint now) const;
+
   // Whether a gang that starts to run now comes too late. A violation is
   // reported once.
   std::optional<GuaranteeViolation> CheckStarted(const scheduling::Job& job,
@@ -77,6 +83,7 @@
   };
 
   static void UpdateCover(State& state, TimePoint now);
+  Duration Limit(const State& state) const;
   bool Violated(const State& state, Entry& entry, TimePoint now);
   bool GuaranteesCanBeHeld() const;
 
--- a/servers/scheduling/naive_scheduler.cc
+++ b/servers/scheduling/naive_scheduler.cc
@@ -232,7 +232,9 @@
   if (it == jobs_.end()) {
     return {};
   }
-  return {it->second.phase, "The baseline scheduler gives no reasons.", ""};
+  const JobState& state = it->second;
+  return {state.phase, "The baseline scheduler gives no reasons.", "",
+          state.start_order != 0 && !state.borrower};
 }
 
 std::vector<UnheldGuarantee> NaiveScheduler::UnheldGuarantees() const {
--- a/servers/scheduling/shape_scheduler_explain.cc
+++ b/servers/scheduling/shape_scheduler_explain.cc
@@ -68,6 +68,7 @@
     return ExplainWaiting(*job, now);
   JobExplanation result;
   result.phase = PhaseOf(job->state);
+  result.guaranteed = job->charged;
   switch (result.phase) {
     case JobPhase::kStarting:
       result.sentence = "Its tasks are being started.";
--- a/servers/scheduling/types.h
+++ b/servers/scheduling/types.h
@@ -160,6 +160,9 @@
   JobPhase phase = JobPhase::kUnknown;
   std::string sentence;
   std::string remedy;  // What a change of settings could do; may be empty.
+  // The gang is charged to its workspace's guarantee now. This may differ from
+  // its start when a home was bound elsewhere meanwhile.
+  bool guaranteed = false;
 };
 
 }  // namespace quetzalshelf::scheduling
