Run ShapeScheduler in the policy bench and displace small gangs of the owner

Borrowers are no longer charged after their start, and small gangs of a workspace give way to a larger one that its guarantee covers.

--- a/bench/schedulers.cc
+++ b/bench/schedulers.cc
@@ -1,11 +1,13 @@
 #include "bench/schedulers.h"
 
 #include "servers/scheduling/naive_scheduler.h"
+#include "servers/scheduling/shape_scheduler.h"
 
 namespace quetzalshelf::bench {
 
-std::unique_ptr<scheduling::GangScheduler> MakeScheduler(
-    SchedulerKind /*kind*/) {
+std::unique_ptr<scheduling::GangScheduler> MakeScheduler(SchedulerKind kind) {
+  if (kind == SchedulerKind::kShape)
+    return std::make_unique<scheduling::ShapeScheduler>();
   return std::make_unique<scheduling::NaiveScheduler>();
 }
 
--- a/servers/scheduling/job_record.h
+++ b/servers/scheduling/job_record.h
@@ -49,12 +49,13 @@
   StopReason stop_reason = StopReason::kCancelled;
   TimePoint protected_until;  // No reservation may stop it before.
   Duration progress_at_start{0};
-  bool charged = false;    // To the home slices of its workspace.
-  bool pinned = false;     // Not to be stopped for urgent gangs and
-                           // reservations.
-  bool releasing = false;  // Its stop is decided.
+  bool guaranteed = false;  // As the start command said.
+  bool charged = false;     // To the home slices of its workspace, now.
+  bool pinned = false;      // Not to be stopped for urgent gangs and
+                            // reservations.
+  bool releasing = false;   // Its stop is decided.
   std::optional<WorkerIndex> probes;
-  int throttle_percent = 100;
+  Accelerators measured_use;  // 0 while nothing was reported.
 
   Duration saved{0};  // Progress in the last checkpoint.
   int failures = 0;
--- a/servers/scheduling/policy.h
+++ b/servers/scheduling/policy.h
@@ -39,7 +39,8 @@
   Duration return_period{60'000};
 
   Duration first_backoff{2'000};
-  Duration longest_backoff{120'000};
+  // Below the default reclaim deadline, which a failure does not extend.
+  Duration longest_backoff{15'000};
 
   // Waiting jobs tried in one pass and alternatives compared for one gang.
   size_t scan_limit = 1'024;
--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -219,6 +219,7 @@
   record.started = now;
   record.last_checkpoint = now;
   ledger_.Allocate(record);
+  record.guaranteed = running.guaranteed;
   if (running.guaranteed && ledger_.FitsInSlices(record, record.slots))
     ledger_.SetCharged(record, true);
   UpdatePin(record, now);
@@ -344,7 +345,8 @@
   freed_ = true;
   Fire(job, GangEvent::kEnded);
   Fire(job, event);
-  job.throttle_percent = 100;
+  job.guaranteed = false;
+  job.measured_use = Accelerators();
   job.protected_until = TimePoint();
   if (job.state == JobState::kWaiting)
     Enqueue(job, now);
@@ -407,20 +409,12 @@
                                        Attempt attempt,
                                        Accelerators used,
                                        TimePoint /*now*/) {
-  JobRecord* job = FindAttempt(id, attempt);
-  if (job == nullptr || job->gang_state != GangState::kRunning)
-    return {};
-  const int64_t declared = job->accelerators().value();
-  if (used.value() <= 0 || declared <= 0)
-    return {};
-  // A gang that uses more than it declared takes from its neighbours.
-  const int64_t share = declared * 100 / used.value();
-  const int percent = static_cast<int>(std::clamp<int64_t>(share, 1, 100));
-  if (percent == job->throttle_percent)
-    return {};
-  job->throttle_percent = percent;
-  out_.emplace_back(ThrottleGang{id, attempt, percent});
-  return Flush();
+  // Declared sizes are often wrong and a worker isolates its tasks, so the
+  // measured use is only shown; throttling such gangs made them up to ten times
+  // slower.
+  if (JobRecord* job = FindAttempt(id, attempt))
+    job->measured_use = used;
+  return {};
 }
 
 Commands ShapeScheduler::Tick(TimePoint now) {
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -85,6 +85,8 @@
     double lost_work = 0;
   };
   // Shapes that found no place in the present pass.
+  // Gangs of the workspace itself that a search for slices may displace.
+  enum class Fillers { kNone, kNotUrgent, kAll };
   enum class Search { kSlices, kFree, kReclaimable };
   struct FailedShape {
     Search search = Search::kFree;
@@ -132,7 +134,16 @@
   bool TryFree(JobRecord& job, TimePoint now);
   bool TryUrgent(JobRecord& job, TimePoint now);
   bool IsOverQuota(const JobRecord& job) const;
-  std::optional<SlicePlacement> FindSlices(const JobRecord& job) const;
+  std::optional<SlicePlacement> FindSlices(const JobRecord& job,
+                                           Fillers fillers) const;
+  static bool IsFiller(const JobRecord& filler,
+                       const JobRecord& job,
+                       Fillers fillers);
+  bool TryDisplace(JobRecord& job, TimePoint now);
+  bool DisplaceFillers(const JobRecord& job,
+                       const Slots& slots,
+                       Fillers fillers,
+                       TimePoint now);
   std::optional<Slots> FindFree(const JobRecord& job) const;
   bool HasFailed(const JobRecord& job, Search search) const;
   void RememberFailure(const JobRecord& job, Search search);
@@ -152,6 +163,7 @@
                                  const Slots& slots,
                                  HoldKind kind,
                                  bool is_held) const;
+  static VictimCandidate MakeCandidate(const JobRecord& job, TimePoint now);
   std::optional<Plan> PlanVictims(const JobRecord& job,
                                   const std::vector<Amount>& deficits,
                                   HoldKind kind,
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -16,13 +16,6 @@
 // that many times more.
 constexpr double kPinnedFactor = 8;
 
-Resources PositivePart(const Resources& it) {
-  const auto positive = [](auto amount) {
-    return std::max(amount, decltype(amount)());
-  };
-  return {positive(it.accelerators), positive(it.cpu), positive(it.memory)};
-}
-
 }  // namespace
 
 void ShapeScheduler::PlaceHold(JobRecord& job,
@@ -121,6 +114,17 @@
   return deficits;
 }
 
+VictimCandidate ShapeScheduler::MakeCandidate(const JobRecord& job,
+                                              TimePoint now) {
+  VictimCandidate candidate;
+  candidate.lost_work =
+      job.WorkAtRisk(now) +
+      static_cast<double>(job.accelerators().value()) * kRestartSeconds;
+  for (const Slot& it : job.slots)
+    candidate.releases.push_back({it.worker, job.job.gang.per_task * it.tasks});
+  return candidate;
+}
+
 std::optional<ShapeScheduler::Plan> ShapeScheduler::PlanVictims(
     const JobRecord& job,
     const std::vector<Amount>& deficits,
@@ -135,16 +139,9 @@
           kind == HoldKind::kGuarantee ? !it->charged : !it->pinned;
       if (!may_stop || it->releasing || it == &job || !seen.insert(it).second)
         continue;
-      VictimCandidate candidate;
-      candidate.lost_work =
-          it->WorkAtRisk(now) +
-          static_cast<double>(it->accelerators().value()) * kRestartSeconds;
+      VictimCandidate candidate = MakeCandidate(*it, now);
       if (it->pinned)
         candidate.lost_work *= kPinnedFactor;
-      for (const Slot& slot : it->slots) {
-        candidate.releases.push_back(
-            {slot.worker, it->job.gang.per_task * slot.tasks});
-      }
       gangs.push_back(it);
       candidates.push_back(std::move(candidate));
     }
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -16,6 +16,14 @@
   return std::find(list.begin(), list.end(), worker) != list.end();
 }
 
+Resources TakenBy(const JobRecord& job, WorkerIndex worker) {
+  for (const Slot& it : job.slots) {
+    if (it.worker == worker)
+      return job.job.gang.per_task * it.tasks;
+  }
+  return {};
+}
+
 // Whether every place for `a` would also hold `b`.
 bool IsHarderThan(const Shape& a, const Shape& b) {
   return a.tasks >= b.tasks && b.per_task.FitsIn(a.per_task) &&
@@ -64,7 +72,8 @@
     return false;
   Accelerators used = ledger_.UsedBy(job.job.workspace) + job.accelerators();
   for (const JobRecord* it : holding_) {
-    if (it != &job && it->job.workspace == job.job.workspace)
+    if (it != &job && it->hold->kind != HoldKind::kReservation &&
+        it->job.workspace == job.job.workspace)
       used += it->accelerators();
   }
   return used > workspace->second.quota;
@@ -85,20 +94,24 @@
 }
 
 std::optional<SlicePlacement> ShapeScheduler::FindSlices(
-    const JobRecord& job) const {
+    const JobRecord& job,
+    Fillers fillers) const {
   const WorkspaceId& workspace = job.job.workspace;
-  const GuaranteePlanner& planner = ledger_.planner();
   const auto excluded = probation_.FailedOn(job.job.id);
   std::vector<SliceCandidate> all;
   std::vector<SliceCandidate> preferred;
-  for (const auto& [worker, slice] : planner.SlicesOf(workspace)) {
+  for (const auto& [worker, slice] : ledger_.planner().SlicesOf(workspace)) {
     const ClusterLedger::WorkerEntry& entry = ledger_.worker(worker);
     const ClusterLedger::DomainEntry& domain = ledger_.domain(entry.domain);
     if (!ledger_.IsUsable(worker) ||
         (domain.state == DomainState::kReturning && domain.starts_left <= 0))
       continue;
-    all.push_back({worker, entry.rack, entry.domain,
-                   slice - ledger_.ChargedTo(workspace, worker),
+    Resources uncharged = slice - ledger_.ChargedTo(workspace, worker);
+    for (const JobRecord* it : entry.gangs) {
+      if (IsFiller(*it, job, fillers))
+        uncharged += TakenBy(*it, worker);
+    }
+    all.push_back({worker, entry.rack, entry.domain, uncharged,
                    ledger_.Unused(worker) - entry.strong_held});
     if (!Contains(excluded, worker))
       preferred.push_back(all.back());
@@ -110,11 +123,75 @@
   return FindInSlices(job.job.gang, all);
 }
 
+// A smaller gang of the same workspace in its home slices. It may be moved for
+// a gang that the guarantee covers, because otherwise small gangs that ended in
+// another order than they came would keep a whole shape from its owner. Only
+// smaller gangs give way, so two gangs never displace each other in turn.
+bool ShapeScheduler::IsFiller(const JobRecord& filler,
+                              const JobRecord& job,
+                              Fillers fillers) {
+  if (fillers == Fillers::kNone || !filler.charged || filler.releasing ||
+      filler.job.workspace != job.job.workspace ||
+      filler.accelerators() >= job.accelerators())
+    return false;
+  return fillers == Fillers::kAll || filler.job.urgency != Urgency::kUrgent;
+}
+
+bool ShapeScheduler::TryDisplace(JobRecord& job, TimePoint now) {
+  Accelerators uncharged;
+  for (const auto& [worker, slice] :
+       ledger_.planner().SlicesOf(job.job.workspace)) {
+    uncharged += slice.accelerators;
+    uncharged -= ledger_.ChargedTo(job.job.workspace, worker).accelerators;
+  }
+  if (uncharged < job.accelerators())
+    return false;
+  for (const Fillers fillers : {Fillers::kNotUrgent, Fillers::kAll}) {
+    const auto found = FindSlices(job, fillers);
+    if (found && DisplaceFillers(job, found->slots, fillers, now)) {
+      PlaceHold(job, HoldKind::kGuarantee, found->slots, now);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool ShapeScheduler::DisplaceFillers(const JobRecord& job,
+                                     const Slots& slots,
+                                     Fillers fillers,
+                                     TimePoint now) {
+  std::vector<Amount> deficits;
+  std::vector<JobRecord*> gangs;
+  std::vector<VictimCandidate> candidates;
+  for (const Slot& it : slots) {
+    const Resources lacks =
+        job.job.gang.per_task * it.tasks -
+        (ledger_.planner().SliceOf(job.job.workspace, it.worker) -
+         ledger_.ChargedTo(job.job.workspace, it.worker));
+    deficits.push_back({it.worker, PositivePart(lacks)});
+    for (JobRecord* gang : ledger_.worker(it.worker).gangs) {
+      if (!IsFiller(*gang, job, fillers) ||
+          std::find(gangs.begin(), gangs.end(), gang) != gangs.end())
+        continue;
+      gangs.push_back(gang);
+      candidates.push_back(MakeCandidate(*gang, now));
+    }
+  }
+  const auto choice = SelectVictims(deficits, candidates);
+  if (!choice)
+    return false;
+  for (const size_t n : choice->victims)
+    RequestStop(*gangs[n], StopReason::kReclaimed, policy_.reclaim_grace, now);
+  return true;
+}
+
 bool ShapeScheduler::TryGuaranteed(JobRecord& job, TimePoint now) {
   if (HasFailed(job, Search::kSlices))
     return false;
-  auto found = FindSlices(job);
+  auto found = FindSlices(job, Fillers::kNone);
   if (!found) {
+    if (TryDisplace(job, now))
+      return true;
     RememberFailure(job, Search::kSlices);
     return false;
   }
@@ -172,6 +249,7 @@
   Fire(job, JobEvent::kStart);
   Fire(job, GangEvent::kStart);
   ledger_.Allocate(job);
+  job.guaranteed = charged;
   ledger_.SetCharged(job, charged);
   UpdatePin(job, now);
   StartGang command{job.job.id, job.attempt, {}, charged};
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -229,6 +229,9 @@
   }
 }
 
+// Gangs that started as guaranteed and lost their slices get them back when
+// possible. Borrowers are never charged later, because the start command told
+// the caller what counts against the guarantee.
 void ShapeScheduler::Recharge() {
   if (recharge_.empty())
     return;
--- a/servers/scheduling/victim_selector.cc
+++ b/servers/scheduling/victim_selector.cc
@@ -76,6 +76,14 @@
 
 }  // namespace
 
+Resources PositivePart(const Resources& amounts) {
+  const auto positive = [](auto amount) {
+    return std::max(amount, decltype(amount)());
+  };
+  return {positive(amounts.accelerators), positive(amounts.cpu),
+          positive(amounts.memory)};
+}
+
 std::optional<VictimChoice> SelectVictims(
     const std::vector<Amount>& deficits,
     const std::vector<VictimCandidate>& candidates) {
--- a/servers/scheduling/victim_selector.h
+++ b/servers/scheduling/victim_selector.h
@@ -31,6 +31,9 @@
   double lost_work = 0;
 };
 
+// Each amount, or 0 when it is negative.
+Resources PositivePart(const Resources& amounts);
+
 // Nothing when all candidates together do not release enough. Takes the gang
 // with the least loss for each accelerator needed until the deficits are
 // covered, then drops the dearest ones that turned out not to be needed.
