--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -78,10 +78,24 @@
   oracle_.End(now_);
   result_.counts = oracle_.counts();
   result_.findings = oracle_.findings();
+  ExplainOpenJobs();
   result_.end = now_;
   return std::move(result_);
 }
 
+void Driver::ExplainOpenJobs() {
+  static constexpr const char* kPhases[] = {"waits",  "starts", "runs",
+                                            "is cut", "stops",  "has ended"};
+  for (size_t n = 0; n < trace_.jobs.size(); ++n) {
+    if (result_.jobs[n].outcome == Outcome::kNone) {
+      const JobId& id = trace_.jobs[n].job.id;
+      result_.findings.push_back(
+          id.value() + " " + kPhases[static_cast<size_t>(gangs_[n].phase)] +
+          " at the end: " + scheduler_.Explain(id, now_).sentence);
+    }
+  }
+}
+
 void Driver::Push(Event event) {
   event.order = next_order_++;
   events_.push(event);
@@ -400,7 +414,9 @@
   }
   const size_t job = found->second;
   Gang& gang = gangs_[job];
-  if (gang.phase == Phase::kBroken && workers_.AllTold(gang.placement)) {
+  // Nothing is left to stop of a gang whose workers are all known to be lost.
+  if ((gang.phase == Phase::kBroken || gang.phase == Phase::kStopping) &&
+      workers_.AllGone(job, gang.placement)) {
     Release(job);
   }
   if (gang.phase != Phase::kIdle) {
--- a/bench/driver.h
+++ b/bench/driver.h
@@ -106,6 +106,8 @@
     Outcome closing = Outcome::kNone;  // Set once the job must end.
   };
 
+  // Adds what the scheduler says about jobs without an outcome.
+  void ExplainOpenJobs();
   void Push(Event event);
   void PushGang(EventKind kind, size_t job, Duration delay);
   bool Valid(const Event& event) const;
--- a/bench/worker_pool.cc
+++ b/bench/worker_pool.cc
@@ -81,9 +81,11 @@
   return {gangs.begin(), gangs.end()};
 }
 
-bool WorkerPool::AllTold(const std::vector<size_t>& placement) const {
-  return std::all_of(placement.begin(), placement.end(),
-                     [&](size_t it) { return workers_[it].told_lost; });
+bool WorkerPool::AllGone(size_t gang,
+                         const std::vector<size_t>& placement) const {
+  return std::all_of(placement.begin(), placement.end(), [&](size_t it) {
+    return workers_[it].told_lost || !workers_[it].gangs.contains(gang);
+  });
 }
 
 std::vector<FreeWorker> WorkerPool::FreeInService() const {
--- a/bench/worker_pool.h
+++ b/bench/worker_pool.h
@@ -54,8 +54,8 @@
                const Resources& per_task);
   // Gangs with a task on the worker.
   std::vector<size_t> gangs(size_t worker) const;
-  // Whether the scheduler knows that every worker of the gang is lost.
-  bool AllTold(const std::vector<size_t>& placement) const;
+  // Whether the scheduler knows that every task of the gang is lost.
+  bool AllGone(size_t gang, const std::vector<size_t>& placement) const;
 
   std::vector<FreeWorker> FreeInService() const;
 
