--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -53,9 +53,12 @@
   const std::vector<JobRecord*> gangs = ledger_.worker(worker).gangs;
   for (JobRecord* job : gangs) {
     ledger_.ReleaseOn(*job, worker);
-    StopNow(*job, StopReason::kWorkerLost);
-    if (job->slots.empty())
+    // A stop that was sent is always answered; without one, nothing is left
+    // that could answer.
+    if (job->slots.empty() && job->gang_state != GangState::kStopping)
       EndAttempt(*job, JobEvent::kLost, now);
+    else
+      StopNow(*job, StopReason::kWorkerLost);
   }
 }
 
@@ -239,7 +242,8 @@
     for (const auto& [worker, slice] : ledger_.planner().SlicesOf(workspace)) {
       const std::vector<JobRecord*> gangs = ledger_.worker(worker).gangs;
       for (JobRecord* job : gangs) {
-        if (job->job.workspace != workspace || job->charged || job->releasing ||
+        if (job->job.workspace != workspace || !job->guaranteed ||
+            job->charged || job->releasing ||
             !ledger_.FitsInSlices(*job, job->slots))
           continue;
         ledger_.SetCharged(*job, true);
--- a/tests/scheduling/simulation.cc
+++ b/tests/scheduling/simulation.cc
@@ -77,9 +77,9 @@
     return;
   used_[id] = {};
   for (auto& [job_id, job] : jobs_) {
-    // A gang that was stopping ends with its last task.
+    // Nothing is left that a stop could reach.
     if (std::erase(job.placement, id) > 0 && job.placement.empty() &&
-        job.state == SimulatedJob::State::kStopping)
+        job.state != SimulatedJob::State::kStopping)
       job.state = AfterStop(job);
   }
   Carry(scheduler_.WorkerLost(id, now_));
@@ -259,10 +259,6 @@
   SimulatedJob* job = Attempted(command.job, command.attempt);
   if (job == nullptr)
     return;
-  if (job->placement.empty()) {
-    job->state = AfterStop(*job);
-    return;
-  }
   job->state = SimulatedJob::State::kStopping;
   After(stop_time, [this, id = command.job, attempt = command.attempt] {
     SimulatedJob* stopped = Attempted(id, attempt);
