--- a/bench/schedulers.cc
+++ b/bench/schedulers.cc
@@ -6,8 +6,9 @@
 namespace quetzalshelf::bench {
 
 std::unique_ptr<scheduling::GangScheduler> MakeScheduler(SchedulerKind kind) {
-  if (kind == SchedulerKind::kShape)
+  if (kind == SchedulerKind::kShape) {
     return std::make_unique<scheduling::ShapeScheduler>();
+  }
   return std::make_unique<scheduling::NaiveScheduler>();
 }
 
