--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -1,11 +1,11 @@
 #include "bench/driver.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <utility>
 #include <variant>
 
+#include "bench/cpu_time.h"
+
 namespace quetzalshelf::bench {
 namespace {
 
@@ -28,12 +28,6 @@
 constexpr LatencyRange kBadWorkerLatency{Duration(2'000), Duration(10'000)};
 constexpr LatencyRange kFailingJobLatency{Duration(5'000), Duration(60'000)};
 
-double CpuSeconds() {
-  timespec it{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &it);
-  return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) / 1e9;
-}
-
 }  // namespace
 
 Driver::Driver(const Trace& trace,
