Charge gangs to single slots of homes

Home slices of a workspace on one worker were added up, so that a gang with tasks of two accelerators was charged to guarantees of one accelerator and kept them from gangs of their own shape. A task is now charged to one slot of a home.

--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -115,18 +115,6 @@
   }
 }
 
-void ClusterLedger::Charge(const JobRecord& job, const Slots& slots, int sign) {
-  auto& charged = charged_[job.job.workspace];
-  for (const Slot& it : slots) {
-    Resources& amount = charged[it.worker];
-    amount += job.job.gang.per_task * (it.tasks * sign);
-    if (amount == Resources())
-      charged.erase(it.worker);
-  }
-  if (charged.empty())
-    charged_.erase(job.job.workspace);
-}
-
 void ClusterLedger::Allocate(JobRecord& job) {
   for (const Slot& it : job.slots)
     workers_[it.worker].gangs.push_back(&job);
@@ -153,8 +141,11 @@
   const Slots one = {*it};
   job.slots.erase(it);
   std::erase(workers_[worker].gangs, &job);
-  if (job.charged)
-    Charge(job, one, -1);
+  const auto gone = std::stable_partition(
+      job.uses.begin(), job.uses.end(),
+      [worker](const HomeUse& use) { return use.worker != worker; });
+  book_.Charge({gone, job.uses.end()}, job.job.gang.per_task, -1);
+  job.uses.erase(gone, job.uses.end());
   if (job.pinned)
     Add(&WorkerEntry::pinned, job, one, -1);
   if (job.releasing)
@@ -162,11 +153,16 @@
   Add(&WorkerEntry::used, job, one, -1);
 }
 
-void ClusterLedger::SetCharged(JobRecord& job, bool charged) {
-  if (job.charged == charged)
-    return;
-  job.charged = charged;
-  Charge(job, job.slots, charged ? 1 : -1);
+void ClusterLedger::Charge(JobRecord& job, HomeUses uses) {
+  job.charged = true;
+  job.uses = std::move(uses);
+  book_.Charge(job.uses, job.job.gang.per_task, 1);
+}
+
+void ClusterLedger::Uncharge(JobRecord& job) {
+  book_.Charge(job.uses, job.job.gang.per_task, -1);
+  job.charged = false;
+  job.uses.clear();
 }
 
 void ClusterLedger::SetPinned(JobRecord& job, bool pinned) {
@@ -179,7 +175,7 @@
 void ClusterLedger::SetReleasing(JobRecord& job) {
   if (job.releasing)
     return;
-  SetCharged(job, false);
+  Uncharge(job);
   SetPinned(job, false);
   job.releasing = true;
   Add(&WorkerEntry::releasing, job, job.slots, 1);
@@ -190,8 +186,7 @@
   Add(&WorkerEntry::held, job, job.hold->slots, 1);
   if (job.hold->kind != HoldKind::kReservation)
     Add(&WorkerEntry::strong_held, job, job.hold->slots, 1);
-  if (job.hold->kind == HoldKind::kGuarantee)
-    Charge(job, job.hold->slots, 1);
+  book_.Charge(job.hold->uses, job.job.gang.per_task, 1);
 }
 
 void ClusterLedger::RemoveHold(JobRecord& job) {
@@ -200,28 +195,23 @@
   Add(&WorkerEntry::held, job, job.hold->slots, -1);
   if (job.hold->kind != HoldKind::kReservation)
     Add(&WorkerEntry::strong_held, job, job.hold->slots, -1);
-  if (job.hold->kind == HoldKind::kGuarantee)
-    Charge(job, job.hold->slots, -1);
+  book_.Charge(job.hold->uses, job.job.gang.per_task, -1);
   job.hold.reset();
 }
 
-Resources ClusterLedger::ChargedTo(const WorkspaceId& workspace,
-                                   WorkerIndex worker) const {
-  const auto of = charged_.find(workspace);
-  if (of == charged_.end())
-    return {};
-  const auto it = of->second.find(worker);
-  return it == of->second.end() ? Resources() : it->second;
-}
-
-bool ClusterLedger::FitsInSlices(const JobRecord& job,
-                                 const Slots& slots) const {
-  const WorkspaceId& workspace = job.job.workspace;
-  return std::all_of(slots.begin(), slots.end(), [&](const Slot& it) {
-    const Resources left = planner_.SliceOf(workspace, it.worker) -
-                           ChargedTo(workspace, it.worker);
-    return TasksIn(left, job.job.gang.per_task, it.tasks) == it.tasks;
-  });
+std::optional<HomeUses> ClusterLedger::FindCharge(const JobRecord& job,
+                                                  const Slots& slots) const {
+  HomeBook::View view;
+  view.uncharged = [this](size_t home, size_t slot) {
+    return book_.slot(home, slot).uncharged;
+  };
+  view.free = [](WorkerIndex /*worker*/) { return Resources(); };
+  for (const Slot& it : slots)
+    view.only[it.worker] = it.tasks;
+  auto found = book_.Find(job.job.workspace, job.job.gang, view);
+  if (!found)
+    return std::nullopt;
+  return std::move(found->uses);
 }
 
 Accelerators ClusterLedger::UsedBy(const WorkspaceId& workspace) const {
--- a/servers/scheduling/cluster_ledger.h
+++ b/servers/scheduling/cluster_ledger.h
@@ -14,6 +14,7 @@
 #include "servers/scheduling/capacity_index.h"
 #include "servers/scheduling/charts.h"
 #include "servers/scheduling/guarantee_planner.h"
+#include "servers/scheduling/home_book.h"
 #include "servers/scheduling/job_record.h"
 #include "servers/scheduling/types.h"
 
@@ -62,6 +63,9 @@
   const std::vector<DomainEntry>& domains() const { return domains_; }
   GuaranteePlanner& planner() { return planner_; }
   const GuaranteePlanner& planner() const { return planner_; }
+  const HomeBook& book() const { return book_; }
+  // Takes over the homes of the planner; nothing may be charged.
+  void RebuildBook() { book_.Rebuild(planner_.homes()); }
   // Free capacity that is not held.
   const CapacityIndex& free() const { return free_; }
   // Capacity that is free or used by gangs that may be stopped for urgent
@@ -82,17 +86,18 @@
   void Allocate(JobRecord& job);
   void Release(JobRecord& job);
   void ReleaseOn(JobRecord& job, WorkerIndex worker);
-  void SetCharged(JobRecord& job, bool charged);
+  void Charge(JobRecord& job, HomeUses uses);
+  void Uncharge(JobRecord& job);
   void SetPinned(JobRecord& job, bool pinned);
   void SetReleasing(JobRecord& job);
-  // Holds of kind kGuarantee charge the workspace's slices.
+  // Holds of kind kGuarantee charge the workspace's homes.
   void AddHold(JobRecord& job, Hold hold);
   void RemoveHold(JobRecord& job);
 
-  // What the workspace's gangs and holds charge to its slice of the worker.
-  Resources ChargedTo(const WorkspaceId& workspace, WorkerIndex worker) const;
-  // Whether the gang's slots lie in uncharged slices of its workspace.
-  bool FitsInSlices(const JobRecord& job, const Slots& slots) const;
+  // A charge for a gang that runs in these slots, if the homes of its
+  // workspace have room there.
+  std::optional<HomeUses> FindCharge(const JobRecord& job,
+                                     const Slots& slots) const;
   Accelerators UsedBy(const WorkspaceId& workspace) const;
 
   // Recomputes what follows from the accounts of one worker.
@@ -101,7 +106,6 @@
  private:
   using Amounts = Resources WorkerEntry::*;
   void Add(Amounts account, const JobRecord& job, const Slots& slots, int sign);
-  void Charge(const JobRecord& job, const Slots& slots, int sign);
 
   const Charts& charts_;
   std::vector<WorkerEntry> workers_;
@@ -109,12 +113,12 @@
   std::unordered_map<WorkerId, WorkerIndex> worker_ids_;
   std::map<DomainId, GroupIndex> domain_ids_;
   std::map<std::pair<GroupIndex, RackId>, GroupIndex> rack_ids_;
-  std::map<WorkspaceId, std::map<WorkerIndex, Resources>> charged_;
   std::map<WorkspaceId, Accelerators> used_by_;
   CapacityIndex free_;
   CapacityIndex reclaimable_;
   CapacityIndex total_;
   GuaranteePlanner planner_;
+  HomeBook book_;
   Accelerators total_accelerators_;
 };
 
--- a/servers/scheduling/guarantee_planner.cc
+++ b/servers/scheduling/guarantee_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <utility>
 
 namespace quetzalshelf::scheduling {
@@ -160,38 +161,6 @@
     }
   }
   homes_ = std::move(best);
-  RebuildSlices();
-}
-
-void GuaranteePlanner::RebuildSlices() {
-  slices_.clear();
-  slices_on_.clear();
-  for (const Home& home : homes_) {
-    for (const Slot& it : home.slots) {
-      const Resources amount = home.shape.per_task * it.tasks;
-      slices_[home.workspace][it.worker] += amount;
-      slices_on_[it.worker] += amount;
-    }
-  }
-}
-
-Resources GuaranteePlanner::SliceOf(const WorkspaceId& workspace,
-                                    WorkerIndex worker) const {
-  const auto& slices = SlicesOf(workspace);
-  const auto it = slices.find(worker);
-  return it == slices.end() ? Resources() : it->second;
-}
-
-Resources GuaranteePlanner::SlicesOn(WorkerIndex worker) const {
-  const auto it = slices_on_.find(worker);
-  return it == slices_on_.end() ? Resources() : it->second;
-}
-
-const std::map<WorkerIndex, Resources>& GuaranteePlanner::SlicesOf(
-    const WorkspaceId& workspace) const {
-  static const std::map<WorkerIndex, Resources> kNone;
-  const auto it = slices_.find(workspace);
-  return it == slices_.end() ? kNone : it->second;
 }
 
 std::vector<UnheldGuarantee> GuaranteePlanner::Unheld() const {
--- a/servers/scheduling/guarantee_planner.h
+++ b/servers/scheduling/guarantee_planner.h
@@ -38,18 +38,7 @@
   void Plan();
 
   const std::vector<Home>& homes() const { return homes_; }
-  // What the workspace owns on the worker.
-  Resources SliceOf(const WorkspaceId& workspace, WorkerIndex worker) const;
-  // Sum of all slices on the worker.
-  Resources SlicesOn(WorkerIndex worker) const;
-  // Workers on which the workspace owns a slice.
-  const std::map<WorkerIndex, Resources>& SlicesOf(
-      const WorkspaceId& workspace) const;
   std::vector<UnheldGuarantee> Unheld() const;
-  GroupIndex rack(WorkerIndex worker) const { return workers_[worker].rack; }
-  GroupIndex domain(WorkerIndex worker) const {
-    return workers_[worker].domain;
-  }
 
  private:
   struct WorkerEntry {
@@ -57,19 +46,15 @@
     GroupIndex domain = 0;
     Resources capacity;
   };
-  using Slices = std::map<WorkspaceId, std::map<WorkerIndex, Resources>>;
 
   bool IsValid(const Home& home, CapacityIndex& free) const;
   CapacityIndex FullIndex() const;
   static void Take(CapacityIndex& free, const Home& home);
   static void BindMissing(std::vector<Home>& homes, CapacityIndex& free);
   static int64_t HeldAccelerators(const std::vector<Home>& homes);
-  void RebuildSlices();
 
   std::vector<WorkerEntry> workers_;
   std::vector<Home> homes_;
-  Slices slices_;
-  std::map<WorkerIndex, Resources> slices_on_;
   bool dirty_ = false;
 };
 
--- /dev/null
+++ b/servers/scheduling/home_book.cc
@@ -0,0 +1,145 @@
+#include "servers/scheduling/home_book.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace quetzalshelf::scheduling {
+
+Slots SlotsOf(const HomeUses& uses) {
+  std::map<WorkerIndex, int> tasks;
+  for (const HomeUse& it : uses)
+    tasks[it.worker] += it.tasks;
+  Slots slots;
+  for (const auto& [worker, count] : tasks)
+    slots.push_back({worker, count});
+  return slots;
+}
+
+// One gang's search; takes tasks slot by slot.
+struct HomeBook::Search {
+  const Shape& gang;
+  const View& view;
+  int missing;
+  Placement placement;
+  std::map<WorkerIndex, int> taken;
+
+  Search(const Shape& shape, const View& the_view)
+      : gang(shape), view(the_view), missing(shape.tasks) {}
+
+  int FreeTasks(WorkerIndex worker) const {
+    const auto it = taken.find(worker);
+    const int used = it == taken.end() ? 0 : it->second;
+    return std::max(
+        0, TasksIn(view.free(worker), gang.per_task, gang.tasks) - used);
+  }
+
+  int Limit(WorkerIndex worker) const {
+    if (view.only.empty())
+      return missing;
+    const auto it = view.only.find(worker);
+    const auto used = taken.find(worker);
+    const int allowed = it == view.only.end() ? 0 : it->second;
+    return std::min(missing,
+                    allowed - (used == taken.end() ? 0 : used->second));
+  }
+
+  void Take(size_t home, size_t slot, WorkerIndex worker, bool whole) {
+    const int n =
+        TasksIn(view.uncharged(home, slot), gang.per_task, Limit(worker));
+    if (n <= 0 || (whole && n < gang.tasks))
+      return;
+    placement.tasks_not_free += std::max(0, n - FreeTasks(worker));
+    placement.uses.push_back({home, slot, worker, n});
+    taken[worker] += n;
+    missing -= n;
+  }
+
+  // Slots whose worker has room come first.
+  void TakeFrom(size_t id, const Home& home) {
+    const bool whole = home.adjacency > gang.adjacency;
+    std::vector<size_t> later;
+    for (size_t n = 0; n < home.slots.size() && missing > 0; ++n) {
+      if (FreeTasks(home.slots[n].worker) > 0)
+        Take(id, n, home.slots[n].worker, whole);
+      else
+        later.push_back(n);
+    }
+    for (const size_t n : later) {
+      if (missing > 0)
+        Take(id, n, home.slots[n].worker, whole);
+    }
+  }
+};
+
+void HomeBook::Rebuild(const std::vector<GuaranteePlanner::Home>& homes) {
+  homes_.clear();
+  by_workspace_.clear();
+  for (const GuaranteePlanner::Home& it : homes) {
+    if (it.slots.empty())
+      continue;
+    Home home{it.shape.adjacency, {}};
+    for (const scheduling::Slot& slot : it.slots) {
+      home.slots.insert(home.slots.end(), static_cast<size_t>(slot.tasks),
+                        {slot.worker, it.shape.per_task});
+    }
+    by_workspace_[it.workspace].push_back(homes_.size());
+    homes_.push_back(std::move(home));
+  }
+}
+
+std::optional<HomeBook::Placement> HomeBook::Find(const WorkspaceId& workspace,
+                                                  const Shape& gang,
+                                                  const View& view) const {
+  std::optional<Placement> best;
+  std::pair<int64_t, int> best_rank;
+  const std::vector<size_t>& homes = HomesOf(workspace);
+  for (const size_t id : homes) {
+    int64_t left = 0;
+    for (size_t n = 0; n < homes_[id].slots.size(); ++n)
+      left += view.uncharged(id, n).accelerators.value();
+    if (best && left > best_rank.first)
+      continue;
+    Search search(gang, view);
+    search.TakeFrom(id, homes_[id]);
+    const std::pair<int64_t, int> rank = {left,
+                                          search.placement.tasks_not_free};
+    if (search.missing > 0 || (best && rank >= best_rank))
+      continue;
+    best = std::move(search.placement);
+    best_rank = rank;
+  }
+  if (best || gang.adjacency != Adjacency::kRegion)
+    return best;
+  Search search(gang, view);
+  for (const size_t id : homes)
+    search.TakeFrom(id, homes_[id]);
+  if (search.missing > 0)
+    return std::nullopt;
+  return std::move(search.placement);
+}
+
+void HomeBook::Charge(const HomeUses& uses,
+                      const Resources& per_task,
+                      int sign) {
+  for (const HomeUse& it : uses)
+    homes_[it.home].slots[it.slot].uncharged -= per_task * (it.tasks * sign);
+}
+
+const std::vector<size_t>& HomeBook::HomesOf(
+    const WorkspaceId& workspace) const {
+  static const std::vector<size_t> kNone;
+  const auto it = by_workspace_.find(workspace);
+  return it == by_workspace_.end() ? kNone : it->second;
+}
+
+Accelerators HomeBook::UnchargedOf(const WorkspaceId& workspace) const {
+  Accelerators sum;
+  for (const size_t id : HomesOf(workspace)) {
+    for (const Slot& it : homes_[id].slots)
+      sum += it.uncharged.accelerators;
+  }
+  return sum;
+}
+
+}  // namespace quetzalshelf::scheduling
--- /dev/null
+++ b/servers/scheduling/home_book.h
@@ -0,0 +1,79 @@
+// What the workspaces' gangs charge to their homes. A task is charged to one
+// slot of a home, the place of one task of the guaranteed shape, so that the
+// shapes that are left are known exactly.
+
+#ifndef SERVERS_SCHEDULING_HOME_BOOK_H_
+#define SERVERS_SCHEDULING_HOME_BOOK_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "servers/scheduling/capacity_index.h"
+#include "servers/scheduling/guarantee_planner.h"
+
+namespace quetzalshelf::scheduling {
+
+// Tasks of a gang in one slot of a home.
+struct HomeUse {
+  size_t home = 0;
+  size_t slot = 0;
+  WorkerIndex worker = 0;
+  int tasks = 0;
+};
+using HomeUses = std::vector<HomeUse>;
+
+// The workers of a charge, each once.
+Slots SlotsOf(const HomeUses& uses);
+
+class HomeBook {
+ public:
+  struct Slot {
+    WorkerIndex worker = 0;
+    Resources uncharged;
+  };
+  struct Home {
+    Adjacency adjacency = Adjacency::kRegion;
+    std::vector<Slot> slots;
+  };
+  // What a search may use of a slot, and what is free on its worker.
+  struct View {
+    std::function<Resources(size_t home, size_t slot)> uncharged;
+    std::function<Resources(WorkerIndex)> free;
+    // When not empty, exactly these tasks on these workers.
+    std::map<WorkerIndex, int> only;
+  };
+  struct Placement {
+    HomeUses uses;
+    int tasks_not_free = 0;  // Tasks that wait for a borrower to stop.
+  };
+
+  // Starts again with nothing charged.
+  void Rebuild(const std::vector<GuaranteePlanner::Home>& homes);
+
+  // Places a gang in one home of its workspace, the one with the least left
+  // that holds it; a gang without adjacency may use several. A home that is
+  // looser than the gang has to hold it in one slot.
+  std::optional<Placement> Find(const WorkspaceId& workspace,
+                                const Shape& gang,
+                                const View& view) const;
+  void Charge(const HomeUses& uses, const Resources& per_task, int sign);
+
+  const Slot& slot(size_t home, size_t slot) const {
+    return homes_[home].slots[slot];
+  }
+  size_t SlotCount(size_t home) const { return homes_[home].slots.size(); }
+  // Homes of a workspace.
+  const std::vector<size_t>& HomesOf(const WorkspaceId& workspace) const;
+  Accelerators UnchargedOf(const WorkspaceId& workspace) const;
+
+ private:
+  struct Search;
+  std::vector<Home> homes_;
+  std::map<WorkspaceId, std::vector<size_t>> by_workspace_;
+};
+
+}  // namespace quetzalshelf::scheduling
+
+#endif  // SERVERS_SCHEDULING_HOME_BOOK_H_
--- a/servers/scheduling/job_record.h
+++ b/servers/scheduling/job_record.h
@@ -10,6 +10,7 @@
 #include "servers/scheduling/capacity_index.h"
 #include "servers/scheduling/charts.h"
 #include "servers/scheduling/fair_queue.h"
+#include "servers/scheduling/home_book.h"
 #include "servers/scheduling/types.h"
 
 namespace quetzalshelf::scheduling {
@@ -24,6 +25,7 @@
 struct Hold {
   HoldKind kind = HoldKind::kReservation;
   Slots slots;
+  HomeUses uses;  // Charged by kGuarantee.
   TimePoint since;
   TimePoint force;  // From then on gangs are stopped to make room.
 };
@@ -50,7 +52,8 @@
   TimePoint protected_until;  // No reservation may stop it before.
   Duration progress_at_start{0};
   bool guaranteed = false;  // As the start command said.
-  bool charged = false;     // To the home slices of its workspace, now.
+  bool charged = false;     // To homes of its workspace, now.
+  HomeUses uses;            // While charged.
   bool pinned = false;      // Not to be stopped for urgent gangs and
                             // reservations.
   bool releasing = false;   // Its stop is decided.
--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -220,11 +220,13 @@
   record.last_checkpoint = now;
   ledger_.Allocate(record);
   record.guaranteed = running.guaranteed;
-  if (running.guaranteed && ledger_.FitsInSlices(record, record.slots))
-    ledger_.SetCharged(record, true);
+  recharge_.insert(&record);
+  if (!running.guaranteed)
+    recharge_.erase(&record);
+  else
+    Recharge(now);
   UpdatePin(record, now);
   ScheduleCheckpoint(record, now);
-  recharge_.insert(job.workspace);
   return Flush();
 }
 
@@ -341,7 +343,8 @@
     job.probes.reset();
   }
   ledger_.Release(job);
-  recharge_.insert(job.job.workspace);
+  recharge_.erase(&job);
+  homes_freed_ = true;
   freed_ = true;
   Fire(job, GangEvent::kEnded);
   Fire(job, event);
@@ -422,7 +425,8 @@
   UpdateDomains(now);
   EndProtection(now);
   Replan(now);
-  Recharge();
+  if (homes_freed_)
+    Recharge(now);
   AdvanceHolds(now);
   RunProbes(now);
   RunPass(now);
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -23,7 +23,6 @@
 #include "servers/scheduling/policy.h"
 #include "servers/scheduling/probation.h"
 #include "servers/scheduling/run_time_model.h"
-#include "servers/scheduling/slice_finder.h"
 #include "servers/scheduling/victim_selector.h"
 
 namespace quetzalshelf::scheduling {
@@ -125,7 +124,7 @@
   bool TryProbe(WorkerIndex worker, TimePoint now);
   void UpdateDomains(TimePoint now);
   void Replan(TimePoint now);
-  void Recharge();
+  void Recharge(TimePoint now);
 
   // Placement (shape_scheduler_pass.cc).
   void RunPass(TimePoint now);
@@ -134,25 +133,30 @@
   bool TryFree(JobRecord& job, TimePoint now);
   bool TryUrgent(JobRecord& job, TimePoint now);
   bool IsOverQuota(const JobRecord& job) const;
-  std::optional<SlicePlacement> FindSlices(const JobRecord& job,
-                                           Fillers fillers) const;
+  std::optional<HomeBook::Placement> FindHomes(const JobRecord& job,
+                                               Fillers fillers) const;
   static bool IsFiller(const JobRecord& filler,
                        const JobRecord& job,
                        Fillers fillers);
   bool TryDisplace(JobRecord& job, TimePoint now);
   bool DisplaceFillers(const JobRecord& job,
-                       const Slots& slots,
+                       const HomeUses& uses,
                        Fillers fillers,
                        TimePoint now);
   std::optional<Slots> FindFree(const JobRecord& job) const;
   bool HasFailed(const JobRecord& job, Search search) const;
   void RememberFailure(const JobRecord& job, Search search);
-  void Start(JobRecord& job, Slots slots, bool charged, TimePoint now);
+  // Charged when `uses` is not empty.
+  void Start(JobRecord& job, Slots slots, HomeUses uses, TimePoint now);
   void UpdatePin(JobRecord& job, TimePoint now);
   void UpdateHandicaps();
 
   // Holds and reservations (shape_scheduler_holds.cc).
-  void PlaceHold(JobRecord& job, HoldKind kind, Slots slots, TimePoint now);
+  void PlaceHold(JobRecord& job,
+                 HoldKind kind,
+                 Slots slots,
+                 HomeUses uses,
+                 TimePoint now);
   void DropHold(JobRecord& job);
   void AdvanceHolds(TimePoint now);
   bool AdvanceHold(JobRecord& job, TimePoint now);
@@ -198,7 +202,8 @@
   Timers checkpoint_timers_;
   Timers protection_timers_;
   std::vector<FailedShape> failed_shapes_;
-  std::set<WorkspaceId> recharge_;
+  std::set<JobRecord*> recharge_;  // Guaranteed gangs without a charge.
+  bool homes_freed_ = false;
   Commands out_;
   uint64_t next_sequence_ = 1;
   bool freed_ = false;  // Capacity became free since the last pass.
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -21,10 +21,12 @@
 void ShapeScheduler::PlaceHold(JobRecord& job,
                                HoldKind kind,
                                Slots slots,
+                               HomeUses uses,
                                TimePoint now) {
   const Duration drain =
       kind == HoldKind::kReservation ? policy_.reservation_drain : Duration(0);
-  ledger_.AddHold(job, {kind, std::move(slots), now, now + drain});
+  ledger_.AddHold(job,
+                  {kind, std::move(slots), std::move(uses), now, now + drain});
   holding_.push_back(&job);
   AdvanceHold(job, now);
 }
@@ -57,7 +59,7 @@
       job.protected_until = now + policy_.reservation_quantum;
       protection_timers_.insert({job.protected_until, &job});
     }
-    Start(job, hold.slots, hold.kind == HoldKind::kGuarantee, now);
+    Start(job, hold.slots, hold.uses, now);
     return false;
   }
   if (now < job.hold->force || MakeRoom(job, now))
@@ -222,7 +224,7 @@
     auto found = FindCheapest(*job, HoldKind::kReservation, now);
     if (!found)
       continue;
-    PlaceHold(*job, HoldKind::kReservation, std::move(*found), now);
+    PlaceHold(*job, HoldKind::kReservation, std::move(*found), {}, now);
     return;
   }
 }
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -16,12 +16,14 @@
   return std::find(list.begin(), list.end(), worker) != list.end();
 }
 
-Resources TakenBy(const JobRecord& job, WorkerIndex worker) {
-  for (const Slot& it : job.slots) {
-    if (it.worker == worker)
-      return job.job.gang.per_task * it.tasks;
+// What a gang charges to one slot of a home.
+Resources TakenBy(const JobRecord& job, size_t home, size_t slot) {
+  Resources sum;
+  for (const HomeUse& it : job.uses) {
+    if (it.home == home && it.slot == slot)
+      sum += job.job.gang.per_task * it.tasks;
   }
-  return {};
+  return sum;
 }
 
 // Whether every place for `a` would also hold `b`.
@@ -93,34 +95,42 @@
   failed_shapes_.push_back({search, job.job.workspace, job.job.gang});
 }
 
-std::optional<SlicePlacement> ShapeScheduler::FindSlices(
+std::optional<HomeBook::Placement> ShapeScheduler::FindHomes(
     const JobRecord& job,
     Fillers fillers) const {
-  const WorkspaceId& workspace = job.job.workspace;
-  const auto excluded = probation_.FailedOn(job.job.id);
-  std::vector<SliceCandidate> all;
-  std::vector<SliceCandidate> preferred;
-  for (const auto& [worker, slice] : ledger_.planner().SlicesOf(workspace)) {
-    const ClusterLedger::WorkerEntry& entry = ledger_.worker(worker);
-    const ClusterLedger::DomainEntry& domain = ledger_.domain(entry.domain);
-    if (!ledger_.IsUsable(worker) ||
-        (domain.state == DomainState::kReturning && domain.starts_left <= 0))
-      continue;
-    Resources uncharged = slice - ledger_.ChargedTo(workspace, worker);
-    for (const JobRecord* it : entry.gangs) {
-      if (IsFiller(*it, job, fillers))
-        uncharged += TakenBy(*it, worker);
+  const HomeBook& book = ledger_.book();
+  auto excluded = probation_.FailedOn(job.job.id);
+  std::map<std::pair<size_t, size_t>, Resources> movable;
+  if (fillers != Fillers::kNone) {
+    for (const size_t home : book.HomesOf(job.job.workspace)) {
+      for (size_t n = 0; n < book.SlotCount(home); ++n) {
+        for (const JobRecord* it :
+             ledger_.worker(book.slot(home, n).worker).gangs) {
+          if (IsFiller(*it, job, fillers))
+            movable[{home, n}] += TakenBy(*it, home, n);
+        }
+      }
     }
-    all.push_back({worker, entry.rack, entry.domain, uncharged,
-                   ledger_.Unused(worker) - entry.strong_held});
-    if (!Contains(excluded, worker))
-      preferred.push_back(all.back());
   }
-  if (auto found = FindInSlices(job.job.gang, preferred))
+  HomeBook::View view;
+  view.uncharged = [&](size_t home, size_t slot) {
+    const HomeBook::Slot& it = book.slot(home, slot);
+    const ClusterLedger::DomainEntry& domain =
+        ledger_.domain(ledger_.worker(it.worker).domain);
+    if (!ledger_.IsUsable(it.worker) || Contains(excluded, it.worker) ||
+        (domain.state == DomainState::kReturning && domain.starts_left <= 0))
+      return Resources();
+    const auto more = movable.find({home, slot});
+    return more == movable.end() ? it.uncharged : it.uncharged + more->second;
+  };
+  view.free = [this](WorkerIndex worker) {
+    return ledger_.Unused(worker) - ledger_.worker(worker).strong_held;
+  };
+  auto found = book.Find(job.job.workspace, job.job.gang, view);
+  if (found || excluded.empty())
     return found;
-  if (preferred.size() == all.size())
-    return std::nullopt;
-  return FindInSlices(job.job.gang, all);
+  excluded.clear();
+  return book.Find(job.job.workspace, job.job.gang, view);
 }
 
 // A smaller gang of the same workspace in its home slices. It may be moved for
@@ -138,18 +148,13 @@
 }
 
 bool ShapeScheduler::TryDisplace(JobRecord& job, TimePoint now) {
-  Accelerators uncharged;
-  for (const auto& [worker, slice] :
-       ledger_.planner().SlicesOf(job.job.workspace)) {
-    uncharged += slice.accelerators;
-    uncharged -= ledger_.ChargedTo(job.job.workspace, worker).accelerators;
-  }
-  if (uncharged < job.accelerators())
+  if (ledger_.book().UnchargedOf(job.job.workspace) < job.accelerators())
     return false;
   for (const Fillers fillers : {Fillers::kNotUrgent, Fillers::kAll}) {
-    const auto found = FindSlices(job, fillers);
-    if (found && DisplaceFillers(job, found->slots, fillers, now)) {
-      PlaceHold(job, HoldKind::kGuarantee, found->slots, now);
+    const auto found = FindHomes(job, fillers);
+    if (found && DisplaceFillers(job, found->uses, fillers, now)) {
+      PlaceHold(job, HoldKind::kGuarantee, SlotsOf(found->uses), found->uses,
+                now);
       return true;
     }
   }
@@ -157,24 +162,30 @@
 }
 
 bool ShapeScheduler::DisplaceFillers(const JobRecord& job,
-                                     const Slots& slots,
+                                     const HomeUses& uses,
                                      Fillers fillers,
                                      TimePoint now) {
+  // The slots of the homes stand for workers here.
   std::vector<Amount> deficits;
   std::vector<JobRecord*> gangs;
   std::vector<VictimCandidate> candidates;
-  for (const Slot& it : slots) {
-    const Resources lacks =
-        job.job.gang.per_task * it.tasks -
-        (ledger_.planner().SliceOf(job.job.workspace, it.worker) -
-         ledger_.ChargedTo(job.job.workspace, it.worker));
-    deficits.push_back({it.worker, PositivePart(lacks)});
+  for (const HomeUse& it : uses) {
+    const auto number = static_cast<WorkerIndex>(deficits.size());
+    deficits.push_back(
+        {number,
+         PositivePart(job.job.gang.per_task * it.tasks -
+                      ledger_.book().slot(it.home, it.slot).uncharged)});
     for (JobRecord* gang : ledger_.worker(it.worker).gangs) {
-      if (!IsFiller(*gang, job, fillers) ||
-          std::find(gangs.begin(), gangs.end(), gang) != gangs.end())
+      const Resources taken = TakenBy(*gang, it.home, it.slot);
+      if (taken == Resources() || !IsFiller(*gang, job, fillers))
         continue;
-      gangs.push_back(gang);
-      candidates.push_back(MakeCandidate(*gang, now));
+      auto known = std::find(gangs.begin(), gangs.end(), gang);
+      if (known == gangs.end()) {
+        known = gangs.insert(gangs.end(), gang);
+        candidates.push_back({MakeCandidate(*gang, now).lost_work, {}});
+      }
+      candidates[static_cast<size_t>(known - gangs.begin())].releases.push_back(
+          {number, taken});
     }
   }
   const auto choice = SelectVictims(deficits, candidates);
@@ -188,7 +199,7 @@
 bool ShapeScheduler::TryGuaranteed(JobRecord& job, TimePoint now) {
   if (HasFailed(job, Search::kSlices))
     return false;
-  auto found = FindSlices(job, Fillers::kNone);
+  const auto found = FindHomes(job, Fillers::kNone);
   if (!found) {
     if (TryDisplace(job, now))
       return true;
@@ -196,9 +207,10 @@
     return false;
   }
   if (found->tasks_not_free == 0)
-    Start(job, std::move(found->slots), true, now);
+    Start(job, SlotsOf(found->uses), found->uses, now);
   else
-    PlaceHold(job, HoldKind::kGuarantee, std::move(found->slots), now);
+    PlaceHold(job, HoldKind::kGuarantee, SlotsOf(found->uses), found->uses,
+              now);
   return true;
 }
 
@@ -220,7 +232,7 @@
     RememberFailure(job, Search::kFree);
     return false;
   }
-  Start(job, std::move(*found), false, now);
+  Start(job, std::move(*found), {}, now);
   return true;
 }
 
@@ -232,13 +244,13 @@
     RememberFailure(job, Search::kReclaimable);
     return false;
   }
-  PlaceHold(job, HoldKind::kUrgent, std::move(*found), now);
+  PlaceHold(job, HoldKind::kUrgent, std::move(*found), {}, now);
   return true;
 }
 
 void ShapeScheduler::Start(JobRecord& job,
                            Slots slots,
-                           bool charged,
+                           HomeUses uses,
                            TimePoint now) {
   Dequeue(job);
   job.slots = std::move(slots);
@@ -249,10 +261,11 @@
   Fire(job, JobEvent::kStart);
   Fire(job, GangEvent::kStart);
   ledger_.Allocate(job);
-  job.guaranteed = charged;
-  ledger_.SetCharged(job, charged);
+  job.guaranteed = !uses.empty();
+  if (job.guaranteed)
+    ledger_.Charge(job, std::move(uses));
   UpdatePin(job, now);
-  StartGang command{job.job.id, job.attempt, {}, charged};
+  StartGang command{job.job.id, job.attempt, {}, job.guaranteed};
   std::set<GroupIndex> domains;
   for (const Slot& it : job.slots) {
     const ClusterLedger::WorkerEntry& worker = ledger_.worker(it.worker);
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -177,7 +177,7 @@
     if (!failed_on.empty())
       continue;
     ledger_.FireWorker(worker, WorkerEvent::kProbe);
-    Start(*job, {{worker, gang.tasks}}, false, now);
+    Start(*job, {{worker, gang.tasks}}, {}, now);
     job->probes = worker;
     return true;
   }
@@ -188,70 +188,58 @@
   if (!ledger_.planner().dirty())
     return;
   ledger_.planner().Plan();
-  // Gangs whose slices are gone become borrowers; holds are checked when they
-  // are advanced.
-  std::map<JobRecord*, bool> charged;
+  // Charges are made anew, oldest first. Gangs that find none become borrowers
+  // and holds without one are dropped.
+  std::set<JobRecord*> charged;
   for (const ClusterLedger::WorkerEntry& worker : ledger_.workers()) {
     for (JobRecord* job : worker.gangs) {
       if (job->charged)
-        charged[job] = true;
+        charged.insert(job);
     }
   }
-  std::vector<JobRecord*> order;
-  for (const auto& [job, unused] : charged)
-    order.push_back(job);
-  for (JobRecord* job : holding_) {
-    if (job->hold->kind == HoldKind::kGuarantee)
-      order.push_back(job);
-  }
-  std::sort(order.begin(), order.end(),
-            [](const JobRecord* a, const JobRecord* b) {
-              return a->key.sequence < b->key.sequence;
-            });
   std::vector<std::pair<JobRecord*, Hold>> holds;
-  for (JobRecord* job : order) {
-    if (job->charged) {
-      ledger_.SetCharged(*job, false);
+  for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
+    if (job->hold->kind != HoldKind::kGuarantee)
       continue;
-    }
     holds.emplace_back(job, *job->hold);
     DropHold(*job);
   }
-  for (JobRecord* job : order) {
-    if (job->holds_capacity() && ledger_.FitsInSlices(*job, job->slots))
-      ledger_.SetCharged(*job, true);
-    if (job->holds_capacity())
-      UpdatePin(*job, now);
-    recharge_.insert(job->job.workspace);
-  }
+  for (JobRecord* job : charged)
+    ledger_.Uncharge(*job);
+  ledger_.RebuildBook();
+  recharge_.insert(charged.begin(), charged.end());
+  Recharge(now);
   for (auto& [job, hold] : holds) {
-    if (!ledger_.FitsInSlices(*job, hold.slots))
+    auto uses = ledger_.FindCharge(*job, hold.slots);
+    if (!uses)
       continue;
+    hold.uses = std::move(*uses);
     ledger_.AddHold(*job, std::move(hold));
     holding_.push_back(job);
   }
 }
 
-// Gangs that started as guaranteed and lost their slices get them back when
-// possible. Borrowers are never charged later, because the start command told
-// the caller what counts against the guarantee.
-void ShapeScheduler::Recharge() {
-  if (recharge_.empty())
-    return;
-  for (const WorkspaceId& workspace : recharge_) {
-    for (const auto& [worker, slice] : ledger_.planner().SlicesOf(workspace)) {
-      const std::vector<JobRecord*> gangs = ledger_.worker(worker).gangs;
-      for (JobRecord* job : gangs) {
-        if (job->job.workspace != workspace || !job->guaranteed ||
-            job->charged || job->releasing ||
-            !ledger_.FitsInSlices(*job, job->slots))
-          continue;
-        ledger_.SetCharged(*job, true);
-        ledger_.SetPinned(*job, true);
-      }
+// Charges gangs that started as guaranteed and lost their homes. Borrowers are
+// never charged later, because the start command told the caller what counts
+// against the guarantee.
+void ShapeScheduler::Recharge(TimePoint now) {
+  homes_freed_ = false;
+  std::vector<JobRecord*> order(recharge_.begin(), recharge_.end());
+  std::sort(order.begin(), order.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  for (JobRecord* job : order) {
+    if (job->releasing) {
+      recharge_.erase(job);
+      continue;
+    }
+    if (auto uses = ledger_.FindCharge(*job, job->slots)) {
+      ledger_.Charge(*job, std::move(*uses));
+      recharge_.erase(job);
     }
+    UpdatePin(*job, now);
   }
-  recharge_.clear();
 }
 
 }  // namespace quetzalshelf::scheduling
