Keep an account of what each workspace's guarantees cover

When a domain went out, guaranteed gangs were uncharged at once and others started in their place before they had stopped, beyond the guarantee. An account by shapes alone now decides which gangs are entitled; homes only decide where.

--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -127,6 +127,7 @@
     ReleaseOn(job, job.slots.back().worker);
   // The share counts the whole gang until its last task is gone.
   used_by_[job.job.workspace] -= job.accelerators();
+  LeaveAccount(job);
   job.charged = false;
   job.pinned = false;
   job.releasing = false;
@@ -159,6 +160,50 @@
   book_.Charge(job.uses, job.job.gang.per_task, 1);
 }
 
+void ClusterLedger::SetAccounts(const std::vector<Workspace>& workspaces) {
+  std::vector<GuaranteePlanner::Home> shapes;
+  for (const Workspace& workspace : workspaces) {
+    for (const Guarantee& it : workspace.guarantees) {
+      for (int copy = 0; copy < it.count; ++copy)
+        shapes.push_back({workspace.id, 0, it.shape, {{0, it.shape.tasks}}});
+    }
+  }
+  accounts_.Rebuild(shapes);
+}
+
+std::optional<HomeUses> ClusterLedger::FindInAccount(
+    const JobRecord& job) const {
+  HomeBook::View view;
+  view.uncharged = [this](size_t home, size_t slot) {
+    return accounts_.slot(home, slot).uncharged;
+  };
+  view.free = [&job](WorkerIndex /*worker*/) {
+    return job.job.gang.per_task * job.job.gang.tasks;
+  };
+  auto found = accounts_.Find(job.job.workspace, job.job.gang, view);
+  if (!found)
+    return std::nullopt;
+  return std::move(found->uses);
+}
+
+bool ClusterLedger::IsEntitled(const JobRecord& job) const {
+  return FindInAccount(job).has_value();
+}
+
+void ClusterLedger::EnterAccount(JobRecord& job) {
+  if (!job.account_uses.empty())
+    return;
+  if (auto uses = FindInAccount(job)) {
+    job.account_uses = std::move(*uses);
+    accounts_.Charge(job.account_uses, job.job.gang.per_task, 1);
+  }
+}
+
+void ClusterLedger::LeaveAccount(JobRecord& job) {
+  accounts_.Charge(job.account_uses, job.job.gang.per_task, -1);
+  job.account_uses.clear();
+}
+
 void ClusterLedger::Uncharge(JobRecord& job) {
   book_.Charge(job.uses, job.job.gang.per_task, -1);
   job.charged = false;
@@ -183,6 +228,8 @@
 
 void ClusterLedger::AddHold(JobRecord& job, Hold hold) {
   job.hold = std::move(hold);
+  if (job.hold->kind == HoldKind::kGuarantee)
+    EnterAccount(job);
   Add(&WorkerEntry::held, job, job.hold->slots, 1);
   if (job.hold->kind != HoldKind::kReservation)
     Add(&WorkerEntry::strong_held, job, job.hold->slots, 1);
@@ -196,6 +243,7 @@
   if (job.hold->kind != HoldKind::kReservation)
     Add(&WorkerEntry::strong_held, job, job.hold->slots, -1);
   book_.Charge(job.hold->uses, job.job.gang.per_task, -1);
+  LeaveAccount(job);
   job.hold.reset();
 }
 
--- a/servers/scheduling/cluster_ledger.h
+++ b/servers/scheduling/cluster_ledger.h
@@ -64,6 +64,13 @@
   GuaranteePlanner& planner() { return planner_; }
   const GuaranteePlanner& planner() const { return planner_; }
   const HomeBook& book() const { return book_; }
+  // The account of each workspace: what its guarantees cover by shape alone.
+  // Only entitled gangs may start as guaranteed. A gang stays in the account
+  // until it has stopped, also when its home is lost or moved before.
+  void SetAccounts(const std::vector<Workspace>& workspaces);
+  bool IsEntitled(const JobRecord& job) const;
+  void EnterAccount(JobRecord& job);
+  void LeaveAccount(JobRecord& job);
   // Takes over the homes of the planner; nothing may be charged.
   void RebuildBook() { book_.Rebuild(planner_.homes()); }
   // Free capacity that is not held.
@@ -105,6 +112,7 @@
 
  private:
   using Amounts = Resources WorkerEntry::*;
+  std::optional<HomeUses> FindInAccount(const JobRecord& job) const;
   void Add(Amounts account, const JobRecord& job, const Slots& slots, int sign);
 
   const Charts& charts_;
@@ -119,6 +127,7 @@
   CapacityIndex total_;
   GuaranteePlanner planner_;
   HomeBook book_;
+  HomeBook accounts_;
   Accelerators total_accelerators_;
 };
 
--- a/servers/scheduling/job_record.h
+++ b/servers/scheduling/job_record.h
@@ -54,6 +54,7 @@
   bool guaranteed = false;  // As the start command said.
   bool charged = false;     // To homes of its workspace, now.
   HomeUses uses;            // While charged.
+  HomeUses account_uses;    // In the account of its workspace.
   bool pinned = false;      // Not to be stopped for urgent gangs and
                             // reservations.
   bool releasing = false;   // Its stop is decided.
--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -62,10 +62,28 @@
   for (const Workspace& it : workspaces)
     workspaces_[it.id] = it;
   ledger_.planner().SetWorkspaces(workspaces);
+  ResetAccounts(workspaces);
   Replan(now);
   return Flush();
 }
 
+void ShapeScheduler::ResetAccounts(const std::vector<Workspace>& workspaces) {
+  std::vector<JobRecord*> entered;
+  for (const auto& [id, job] : jobs_) {
+    if (job->account_uses.empty())
+      continue;
+    job->account_uses.clear();
+    entered.push_back(job.get());
+  }
+  std::sort(entered.begin(), entered.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  ledger_.SetAccounts(workspaces);
+  for (JobRecord* job : entered)
+    ledger_.EnterAccount(*job);
+}
+
 std::optional<RefuseJob> ShapeScheduler::CheckSubmission(const Job& job) const {
   const auto refuse = [&job](RefusalReason reason, std::string detail) {
     return RefuseJob{job.id, reason, std::move(detail)};
@@ -221,10 +239,12 @@
   ledger_.Allocate(record);
   record.guaranteed = running.guaranteed;
   recharge_.insert(&record);
-  if (!running.guaranteed)
-    recharge_.erase(&record);
-  else
+  if (running.guaranteed) {
+    ledger_.EnterAccount(record);
     Recharge(now);
+  } else {
+    recharge_.erase(&record);
+  }
   UpdatePin(record, now);
   ScheduleCheckpoint(record, now);
   return Flush();
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -96,6 +96,7 @@
   // Jobs (shape_scheduler.cc).
   JobRecord* FindJob(const JobId& id) const;
   JobRecord* FindAttempt(const JobId& id, Attempt attempt) const;
+  void ResetAccounts(const std::vector<Workspace>& workspaces);
   std::optional<RefuseJob> CheckSubmission(const Job& job) const;
   std::optional<RefuseJob> CheckPlaceable(const Job& job) const;
   JobRecord& AddRecord(const Job& job, TimePoint now);
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -199,6 +199,10 @@
 bool ShapeScheduler::TryGuaranteed(JobRecord& job, TimePoint now) {
   if (HasFailed(job, Search::kSlices))
     return false;
+  if (!ledger_.IsEntitled(job)) {
+    RememberFailure(job, Search::kSlices);
+    return false;
+  }
   const auto found = FindHomes(job, Fillers::kNone);
   if (!found) {
     if (TryDisplace(job, now))
@@ -262,8 +266,10 @@
   Fire(job, GangEvent::kStart);
   ledger_.Allocate(job);
   job.guaranteed = !uses.empty();
-  if (job.guaranteed)
+  if (job.guaranteed) {
+    ledger_.EnterAccount(job);
     ledger_.Charge(job, std::move(uses));
+  }
   UpdatePin(job, now);
   StartGang command{job.job.id, job.attempt, {}, job.guaranteed};
   std::set<GroupIndex> domains;
