--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -62,10 +62,28 @@
   for (const Workspace& it : workspaces)
     workspaces_[it.id] = it;
   ledger_.planner().SetWorkspaces(workspaces);
+  ResetAccounts(workspaces);
   Replan(now);
   return Flush();
 }
 
+void ShapeScheduler::ResetAccounts(const std::vector<Workspace>& workspaces) {
+  std::vector<JobRecord*> entered;
+  for (const auto& [id, job] : jobs_) {
+    if (job->account_uses.empty())
+      continue;
+    job->account_uses.clear();
+    entered.push_back(job.get());
+  }
+  std::sort(entered.begin(), entered.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  ledger_.SetAccounts(workspaces);
+  for (JobRecord* job : entered)
+    ledger_.EnterAccount(*job);
+}
+
 std::optional<RefuseJob> ShapeScheduler::CheckSubmission(const Job& job) const {
   const auto refuse = [&job](RefusalReason reason, std::string detail) {
     return RefuseJob{job.id, reason, std::move(detail)};
@@ -220,11 +238,15 @@
   record.last_checkpoint = now;
   ledger_.Allocate(record);
   record.guaranteed = running.guaranteed;
-  if (running.guaranteed && ledger_.FitsInSlices(record, record.slots))
-    ledger_.SetCharged(record, true);
+  recharge_.insert(&record);
+  if (running.guaranteed) {
+    ledger_.EnterAccount(record);
+    Recharge(now);
+  } else {
+    recharge_.erase(&record);
+  }
   UpdatePin(record, now);
   ScheduleCheckpoint(record, now);
-  recharge_.insert(job.workspace);
   return Flush();
 }
 
@@ -341,7 +363,8 @@
     job.probes.reset();
   }
   ledger_.Release(job);
-  recharge_.insert(job.job.workspace);
+  recharge_.erase(&job);
+  homes_freed_ = true;
   freed_ = true;
   Fire(job, GangEvent::kEnded);
   Fire(job, event);
@@ -422,7 +445,8 @@
   UpdateDomains(now);
   EndProtection(now);
   Replan(now);
-  Recharge();
+  if (homes_freed_)
+    Recharge(now);
   AdvanceHolds(now);
   RunProbes(now);
   RunPass(now);
