--- a/bench/driver.cc
+++ b/bench/driver.cc
@@ -1,11 +1,11 @@
 #include "bench/driver.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <utility>
 #include <variant>
 
+#include "bench/cpu_time.h"
+
 namespace quetzalshelf::bench {
 namespace {
 
@@ -28,12 +28,6 @@
 constexpr LatencyRange kBadWorkerLatency{Duration(2'000), Duration(10'000)};
 constexpr LatencyRange kFailingJobLatency{Duration(5'000), Duration(60'000)};
 
-double CpuSeconds() {
-  timespec it{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &it);
-  return static_cast<double>(it.tv_sec) + static_cast<double>(it.tv_nsec) / 1e9;
-}
-
 }  // namespace
 
 Driver::Driver(const Trace& trace,
@@ -42,7 +36,11 @@
     : trace_(trace),
       scheduler_(scheduler),
       options_(options),
-      oracle_(trace.workspaces, {.domain_out_limit = trace.domain_out_limit}),
+      oracle_(trace.workspaces,
+              {.domain_out_limit = trace.domain_out_limit},
+              [this](const JobId& job) {
+                return scheduler_.Explain(job, now_).guaranteed;
+              }),
       workers_(trace),
       gangs_(trace.jobs.size()) {
   result_.jobs.resize(trace.jobs.size());
@@ -74,10 +72,24 @@
   oracle_.End(now_);
   result_.counts = oracle_.counts();
   result_.findings = oracle_.findings();
+  ExplainOpenJobs();
   result_.end = now_;
   return std::move(result_);
 }
 
+void Driver::ExplainOpenJobs() {
+  static constexpr const char* kPhases[] = {"waits",  "starts", "runs",
+                                            "is cut", "stops",  "has ended"};
+  for (size_t n = 0; n < trace_.jobs.size(); ++n) {
+    if (result_.jobs[n].outcome == Outcome::kNone) {
+      const JobId& id = trace_.jobs[n].job.id;
+      result_.findings.push_back(
+          id.value() + " " + kPhases[static_cast<size_t>(gangs_[n].phase)] +
+          " at the end: " + scheduler_.Explain(id, now_).sentence);
+    }
+  }
+}
+
 void Driver::Push(Event event) {
   event.order = next_order_++;
   events_.push(event);
@@ -199,7 +211,7 @@
   gang.since = now_;
   gang.progress =
       options_.resume_from_checkpoint ? gang.checkpoint : Duration(0);
-  gang.percent = 100;
+  SetThrottle(job, 100);
   ++result_.jobs[job].starts;
   running_tasks_ += it.job.gang.tasks;
   result_.most_tasks_running =
@@ -274,8 +286,9 @@
 
 void Driver::OnUsage(const Event& event) {
   const TraceJob& it = trace_.jobs[event.index];
+  const double share = it.use_factor * gangs_[event.index].throttle / 100;
   const Accelerators used(static_cast<int64_t>(
-      it.use_factor * static_cast<double>(GangAccelerators(it.job))));
+      share * static_cast<double>(GangAccelerators(it.job))));
   Tell([&] {
     return scheduler_.UsageReported(it.job.id, event.attempt, used, now_);
   });
@@ -395,7 +408,9 @@
   }
   const size_t job = found->second;
   Gang& gang = gangs_[job];
-  if (gang.phase == Phase::kBroken && workers_.AllTold(gang.placement)) {
+  // Nothing is left to stop of a gang whose workers are all known to be lost.
+  if ((gang.phase == Phase::kBroken || gang.phase == Phase::kStopping) &&
+      workers_.AllGone(job, gang.placement)) {
     Release(job);
   }
   if (gang.phase != Phase::kIdle) {
@@ -443,7 +458,7 @@
   const std::optional<size_t> job = FindHeld(throttle.job, throttle.attempt);
   if (job && gangs_[*job].phase == Phase::kRunning) {
     Advance(*job);
-    gangs_[*job].percent = std::clamp(throttle.percent, 1, 100);
+    SetThrottle(*job, throttle.percent);
     ScheduleEnd(*job);
   }
 }
@@ -480,11 +495,21 @@
         .progress = gangs_[job].progress});
 }
 
+// Run times hold at the declared size: a gang that uses more is not faster, and
+// one that is throttled to its declared size is not slower.
+void Driver::SetThrottle(size_t job, int percent) {
+  Gang& gang = gangs_[job];
+  gang.throttle = std::clamp(percent, 1, 100);
+  const double use = std::max(1.0, trace_.jobs[job].use_factor);
+  gang.speed_percent =
+      std::max(1, static_cast<int>(std::min(100.0, gang.throttle * use)));
+}
+
 void Driver::ScheduleEnd(size_t job) {
   Gang& gang = gangs_[job];
   ++gang.version;
   const Duration rest = trace_.jobs[job].run_time - gang.progress;
-  PushGang(EventKind::kFinished, job, rest * 100 / gang.percent);
+  PushGang(EventKind::kFinished, job, rest * 100 / gang.speed_percent);
 }
 
 void Driver::ScheduleFailure(size_t job) {
@@ -519,7 +544,7 @@
     return;
   }
   const TraceJob& it = trace_.jobs[job];
-  const Duration done = std::min((now_ - gang.since) * gang.percent / 100,
+  const Duration done = std::min((now_ - gang.since) * gang.speed_percent / 100,
                                  it.run_time - gang.progress);
   gang.progress += done;
   gang.since = now_;
@@ -532,7 +557,7 @@
       accelerators * static_cast<double>((done - fresh).count()) / 1e3;
   if (fresh.count() > 0) {
     result_.work.push_back(
-        {job, now_ - fresh * 100 / gang.percent, now_,
+        {job, now_ - fresh * 100 / gang.speed_percent, now_,
          accelerators * static_cast<double>(fresh.count()) / 1e3});
   }
 }
--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -62,10 +62,28 @@
   for (const Workspace& it : workspaces)
     workspaces_[it.id] = it;
   ledger_.planner().SetWorkspaces(workspaces);
+  ResetAccounts(workspaces);
   Replan(now);
   return Flush();
 }
 
+void ShapeScheduler::ResetAccounts(const std::vector<Workspace>& workspaces) {
+  std::vector<JobRecord*> entered;
+  for (const auto& [id, job] : jobs_) {
+    if (job->account_uses.empty())
+      continue;
+    job->account_uses.clear();
+    entered.push_back(job.get());
+  }
+  std::sort(entered.begin(), entered.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  ledger_.SetAccounts(workspaces);
+  for (JobRecord* job : entered)
+    ledger_.EnterAccount(*job);
+}
+
 std::optional<RefuseJob> ShapeScheduler::CheckSubmission(const Job& job) const {
   const auto refuse = [&job](RefusalReason reason, std::string detail) {
     return RefuseJob{job.id, reason, std::move(detail)};
@@ -219,11 +237,16 @@
   record.started = now;
   record.last_checkpoint = now;
   ledger_.Allocate(record);
-  if (running.guaranteed && ledger_.FitsInSlices(record, record.slots))
-    ledger_.SetCharged(record, true);
+  record.guaranteed = running.guaranteed;
+  recharge_.insert(&record);
+  if (running.guaranteed) {
+    ledger_.EnterAccount(record);
+    Recharge(now);
+  } else {
+    recharge_.erase(&record);
+  }
   UpdatePin(record, now);
   ScheduleCheckpoint(record, now);
-  recharge_.insert(job.workspace);
   return Flush();
 }
 
@@ -340,11 +363,13 @@
     job.probes.reset();
   }
   ledger_.Release(job);
-  recharge_.insert(job.job.workspace);
+  recharge_.erase(&job);
+  homes_freed_ = true;
   freed_ = true;
   Fire(job, GangEvent::kEnded);
   Fire(job, event);
-  job.throttle_percent = 100;
+  job.guaranteed = false;
+  job.measured_use = Accelerators();
   job.protected_until = TimePoint();
   if (job.state == JobState::kWaiting)
     Enqueue(job, now);
@@ -407,20 +432,12 @@
                                        Attempt attempt,
                                        Accelerators used,
                                        TimePoint /*now*/) {
-  JobRecord* job = FindAttempt(id, attempt);
-  if (job == nullptr || job->gang_state != GangState::kRunning)
-    return {};
-  const int64_t declared = job->accelerators().value();
-  if (used.value() <= 0 || declared <= 0)
-    return {};
-  // A gang that uses more than it declared takes from its neighbours.
-  const int64_t share = declared * 100 / used.value();
-  const int percent = static_cast<int>(std::clamp<int64_t>(share, 1, 100));
-  if (percent == job->throttle_percent)
-    return {};
-  job->throttle_percent = percent;
-  out_.emplace_back(ThrottleGang{id, attempt, percent});
-  return Flush();
+  // Declared sizes are often wrong and a worker isolates its tasks, so the
+  // measured use is only shown; throttling such gangs made them up to ten times
+  // slower.
+  if (JobRecord* job = FindAttempt(id, attempt))
+    job->measured_use = used;
+  return {};
 }
 
 Commands ShapeScheduler::Tick(TimePoint now) {
@@ -428,7 +445,8 @@
   UpdateDomains(now);
   EndProtection(now);
   Replan(now);
-  Recharge();
+  if (homes_freed_)
+    Recharge(now);
   AdvanceHolds(now);
   RunProbes(now);
   RunPass(now);
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -16,22 +16,17 @@
 // that many times more.
 constexpr double kPinnedFactor = 8;
 
-Resources PositivePart(const Resources& it) {
-  const auto positive = [](auto amount) {
-    return std::max(amount, decltype(amount)());
-  };
-  return {positive(it.accelerators), positive(it.cpu), positive(it.memory)};
-}
-
 }  // namespace
 
 void ShapeScheduler::PlaceHold(JobRecord& job,
                                HoldKind kind,
                                Slots slots,
+                               HomeUses uses,
                                TimePoint now) {
   const Duration drain =
       kind == HoldKind::kReservation ? policy_.reservation_drain : Duration(0);
-  ledger_.AddHold(job, {kind, std::move(slots), now, now + drain});
+  ledger_.AddHold(job,
+                  {kind, std::move(slots), std::move(uses), now, now + drain});
   holding_.push_back(&job);
   AdvanceHold(job, now);
 }
@@ -64,7 +59,7 @@
       job.protected_until = now + policy_.reservation_quantum;
       protection_timers_.insert({job.protected_until, &job});
     }
-    Start(job, hold.slots, hold.kind == HoldKind::kGuarantee, now);
+    Start(job, hold.slots, hold.uses, now);
     return false;
   }
   if (now < job.hold->force || MakeRoom(job, now))
@@ -121,6 +116,17 @@
   return deficits;
 }
 
+VictimCandidate ShapeScheduler::MakeCandidate(const JobRecord& job,
+                                              TimePoint now) {
+  VictimCandidate candidate;
+  candidate.lost_work =
+      job.WorkAtRisk(now) +
+      static_cast<double>(job.accelerators().value()) * kRestartSeconds;
+  for (const Slot& it : job.slots)
+    candidate.releases.push_back({it.worker, job.job.gang.per_task * it.tasks});
+  return candidate;
+}
+
 std::optional<ShapeScheduler::Plan> ShapeScheduler::PlanVictims(
     const JobRecord& job,
     const std::vector<Amount>& deficits,
@@ -135,16 +141,9 @@
           kind == HoldKind::kGuarantee ? !it->charged : !it->pinned;
       if (!may_stop || it->releasing || it == &job || !seen.insert(it).second)
         continue;
-      VictimCandidate candidate;
-      candidate.lost_work =
-          it->WorkAtRisk(now) +
-          static_cast<double>(it->accelerators().value()) * kRestartSeconds;
+      VictimCandidate candidate = MakeCandidate(*it, now);
       if (it->pinned)
         candidate.lost_work *= kPinnedFactor;
-      for (const Slot& slot : it->slots) {
-        candidate.releases.push_back(
-            {slot.worker, it->job.gang.per_task * slot.tasks});
-      }
       gangs.push_back(it);
       candidates.push_back(std::move(candidate));
     }
@@ -225,7 +224,7 @@
     auto found = FindCheapest(*job, HoldKind::kReservation, now);
     if (!found)
       continue;
-    PlaceHold(*job, HoldKind::kReservation, std::move(*found), now);
+    PlaceHold(*job, HoldKind::kReservation, std::move(*found), {}, now);
     return;
   }
 }
