Ask the issuer of a ticket before calling its outcome unknown

A failed forward was also worded as not run, although an earlier call with the same ticket may have run.

--- a/main/daemon/api/job_api.cc
+++ b/main/daemon/api/job_api.cc
@@ -16,7 +16,8 @@
 
 absl::Status NoOwnerStatus() {
   return absl::UnavailableError(
-      "not run: the shard has no owner at the moment; try again");
+      "the call had no effect: the shard has no owner at the moment; "
+      "try again");
 }
 
 // Whether a listed job matches the query.
--- a/main/daemon/api/job_codec.cc
+++ b/main/daemon/api/job_codec.cc
@@ -50,8 +50,8 @@
 }
 
 HttpResponse NotRun(const std::string& message, Duration retry_after) {
-  HttpResponse response =
-      ErrorResponse(absl::UnavailableError("not run: " + message));
+  HttpResponse response = ErrorResponse(
+      absl::UnavailableError("the call had no effect: " + message));
   response.headers.push_back({"Retry-After", RetryAfterSeconds(retry_after)});
   return response;
 }
--- a/main/daemon/api/request_api.cc
+++ b/main/daemon/api/request_api.cc
@@ -15,6 +15,7 @@
 // rather than a time-out of the HTTP layer.
 constexpr Duration kAnswerMargin{5'000};
 constexpr Duration kLongestDeadline{120'000};
+constexpr Duration kAskAgainAfter{1'000};
 
 // 200 for an answer, 503 for "not run" and 504 for an unknown outcome, each
 // with the same body.
@@ -33,6 +34,15 @@
   return response;
 }
 
+routing::CallerReply AskAgain() {
+  routing::CallerReply reply;
+  reply.reason =
+      "the node that issued the ticket does not answer; ask again with the "
+      "same ticket";
+  reply.retry_after = kAskAgainAfter;
+  return reply;
+}
+
 }  // namespace
 
 void RequestApi::Register(HttpServer& server) {
@@ -93,18 +103,36 @@
     return;
   }
   const KnownNode* issuer = deps_.nodes.Find(parts->node);
-  const bool same_incarnation =
-      issuer != nullptr && issuer->incarnation == parts->incarnation;
-  if (same_incarnation && issuer->is_self) {
+  const bool is_here = issuer != nullptr && issuer->is_self;
+  if (is_here && issuer->incarnation == parts->incarnation) {
     SubmitHere(std::move(message), respond);
-  } else if (same_incarnation && !IsForwarded(request)) {
-    deps_.forwarder.Forward(issuer->address, request, respond,
-                            message.timeout + kAnswerMargin);
-  } else {
+  } else if (is_here || deps_.nodes.HasGone(parts->node)) {
     deps_.archive.Find(*parts, ticket, [respond](const auto& reply) {
       respond(ReplyResponse(reply));
     });
+  } else if (issuer != nullptr && !IsForwarded(request)) {
+    // The node itself knows best whether the incarnation is its own: what this
+    // node has read about it may be older than the ticket.
+    AskIssuer(*issuer, message.timeout, request, respond);
+  } else {
+    respond(ReplyResponse(AskAgain()));
   }
 }
 
+// Whatever becomes of this call, an earlier one with the same ticket may have
+// run, so a failure to ask is never "not run".
+void RequestApi::AskIssuer(const KnownNode& issuer,
+                           Duration timeout,
+                           const HttpRequest& request,
+                           const Responder& respond) {
+  deps_.forwarder.Send(issuer.address, request, timeout + kAnswerMargin,
+                       [respond](auto reply) {
+                         if (reply.ok()) {
+                           respond(ToHttpResponse(*reply));
+                           return;
+                         }
+                         respond(ReplyResponse(AskAgain()));
+                       });
+}
+
 }  // namespace quetzalshelf
--- a/main/daemon/api/request_api.h
+++ b/main/daemon/api/request_api.h
@@ -42,6 +42,10 @@
   void SubmitForTicket(RequestMessage message,
                        const HttpRequest& request,
                        const Responder& respond);
+  void AskIssuer(const KnownNode& issuer,
+                 Duration timeout,
+                 const HttpRequest& request,
+                 const Responder& respond);
 
   RequestApiDeps deps_;
 };
--- a/main/daemon/call_forwarder.cc
+++ b/main/daemon/call_forwarder.cc
@@ -1,6 +1,7 @@
 #include "main/daemon/call_forwarder.h"
 
 #include <string>
+#include <utility>
 
 #include "drivers/http/api_error.h"
 #include "drivers/peer/peer_codec.h"
@@ -20,18 +21,12 @@
   return target;
 }
 
-HttpResponse ToResponse(const PeerAddress& peer,
-                        const absl::StatusOr<ForwardedReply>& reply) {
-  if (reply.ok()) {
-    HttpResponse response;
-    response.status = reply->http_status;
-    response.body = reply->body;
-    return response;
-  }
+HttpResponse FailureResponse(const PeerAddress& peer,
+                             const absl::Status& status) {
   const std::string node = "node `" + peer.node.value() + "`";
-  if (absl::IsUnavailable(reply.status())) {
+  if (absl::IsUnavailable(status)) {
     return ErrorResponse(absl::UnavailableError(
-        "not run: " + node + " cannot be reached; try again"));
+        "the call had no effect: " + node + " cannot be reached; try again"));
   }
   return ErrorResponse(absl::DeadlineExceededError(
       "outcome unknown: the answer of " + node + " was lost"));
@@ -39,22 +34,36 @@
 
 }  // namespace
 
+HttpResponse ToHttpResponse(const ForwardedReply& reply) {
+  HttpResponse response;
+  response.status = reply.http_status;
+  response.body = reply.body;
+  return response;
+}
+
 bool IsForwarded(const HttpRequest& request) {
   return !request.Header(kForwardedNodeHeader).empty();
 }
 
-void CallForwarder::Forward(const PeerAddress& peer,
-                            const HttpRequest& request,
-                            const Responder& respond,
-                            Duration timeout) {
+void CallForwarder::Send(const PeerAddress& peer,
+                         const HttpRequest& request,
+                         Duration timeout,
+                         ReplyCallback done) {
   ForwardedCall call;
-  call.timeout = timeout;
   call.method = request.method;
   call.path = TargetOf(request);
   call.body = request.body;
   call.authorization = request.Header("Authorization");
-  peers_.Forward(peer, call, [peer, respond](auto reply) {
-    respond(ToResponse(peer, reply));
+  call.timeout = timeout;
+  peers_.Forward(peer, call, std::move(done));
+}
+
+void CallForwarder::Forward(const PeerAddress& peer,
+                            const HttpRequest& request,
+                            const Responder& respond) {
+  Send(peer, request, Duration(0), [peer, respond](auto reply) {
+    respond(reply.ok() ? ToHttpResponse(*reply)
+                       : FailureResponse(peer, reply.status()));
   });
 }
 
--- a/main/daemon/call_forwarder.h
+++ b/main/daemon/call_forwarder.h
@@ -5,6 +5,8 @@
 
 #include <functional>
 
+#include <absl/status/statusor.h>
+
 #include "core/platform/peer_port.h"
 #include "core/time.h"
 #include "drivers/http/http_message.h"
@@ -12,6 +14,9 @@
 
 namespace quetzalshelf {
 
+// The answer of a peer, as it is passed back.
+HttpResponse ToHttpResponse(const ForwardedReply& reply);
+
 // Whether another node has passed this call on; it must not go further.
 bool IsForwarded(const HttpRequest& request);
 
@@ -20,13 +25,19 @@
  public:
   explicit CallForwarder(PeerPort& peers) : peers_(peers) {}
 
+  using ReplyCallback = std::function<void(absl::StatusOr<ForwardedReply>)>;
+
+  // Calls back with the peer's answer; errors as of PeerPort::Forward.
+  // `timeout` 0 takes the default of the port.
+  void Send(const PeerAddress& peer,
+            const HttpRequest& request,
+            Duration timeout,
+            ReplyCallback done);
   // Answers with the peer's answer. A peer that is not reached gives 503: the
   // call had no effect. A lost answer gives 504: it may have had one.
-  // `timeout` 0 takes the default of the port.
   void Forward(const PeerAddress& peer,
                const HttpRequest& request,
-               const Responder& respond,
-               Duration timeout = Duration(0));
+               const Responder& respond);
 
  private:
   PeerPort& peers_;
--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -275,6 +275,8 @@
 std::string Daemon::NotReadyReason() const {
   if (stop_ != nullptr)
     return "the node is stopping";
+  if (!membership_.observed())
+    return "the nodes have not been read from the table";
   if (!settings_.ready())
     return settings_.NotReadyReason();
   if (!vm_watch_.loaded())
--- a/main/daemon/node_directory.cc
+++ b/main/daemon/node_directory.cc
@@ -1,9 +1,20 @@
 #include "main/daemon/node_directory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace quetzalshelf {
 
+void NodeDirectory::Replace(std::vector<KnownNode> nodes) {
+  nodes_ = std::move(nodes);
+  for (const KnownNode& it : nodes_)
+    seen_.insert(it.address.node);
+}
+
+bool NodeDirectory::HasGone(const NodeId& node) const {
+  return seen_.contains(node) && Find(node) == nullptr;
+}
+
 const KnownNode* NodeDirectory::Find(const NodeId& node) const {
   const auto it = std::find_if(
       nodes_.begin(), nodes_.end(),
--- a/main/daemon/node_directory.h
+++ b/main/daemon/node_directory.h
@@ -3,7 +3,7 @@
 #ifndef MAIN_DAEMON_NODE_DIRECTORY_H_
 #define MAIN_DAEMON_NODE_DIRECTORY_H_
 
-#include <utility>
+#include <set>
 #include <vector>
 
 #include "core/ids.h"
@@ -23,16 +23,20 @@
 // Live nodes only, this one included. Single-threaded.
 class NodeDirectory {
  public:
-  void Replace(std::vector<KnownNode> nodes) { nodes_ = std::move(nodes); }
+  void Replace(std::vector<KnownNode> nodes);
 
   const std::vector<KnownNode>& nodes() const { return nodes_; }
   // Null when there is no live node of that name.
   const KnownNode* Find(const NodeId& node) const;
+  // Whether the node was live once and no longer is.
+  bool HasGone(const NodeId& node) const;
   // The addresses of all nodes but this one.
   std::vector<PeerAddress> Peers() const;
 
  private:
   std::vector<KnownNode> nodes_;
+  // Every node that was ever live. Node names are few and used again.
+  std::set<NodeId> seen_;
 };
 
 }  // namespace quetzalshelf
--- a/standins/backend/backend_service.cc
+++ b/standins/backend/backend_service.cc
@@ -52,7 +52,7 @@
 
 int BackendService::runs(const RequestId& request) const {
   const auto it = runs_.find(request);
-  return it == runs_.end() ? 0 : it->second;
+  return it == runs_.end() ? 0 : it->second.runs;
 }
 
 void BackendService::Run(const HttpRequest& http, const Responder& respond) {
@@ -65,7 +65,9 @@
     refusal = ErrorResponse(absl::ResourceExhaustedError("no free slot"));
   } else {
     ++used_slots_;
-    ++runs_[request->id];
+    RunRecord& record = runs_[request->id];
+    ++record.runs;
+    record.payload = request->payload;
     runner_.PostAfter(faults_.delay, [this, request = *request, respond] {
       --used_slots_;
       Answer(request, respond);
@@ -150,8 +152,11 @@
 
 HttpResponse BackendService::Counts() const {
   Json counts = Json::array();
-  for (const auto& [request, runs] : runs_)
-    counts.push_back({{"request", request.value()}, {"runs", runs}});
+  for (const auto& [request, record] : runs_) {
+    counts.push_back({{"request", request.value()},
+                      {"runs", record.runs},
+                      {"payload", record.payload}});
+  }
   return JsonResponse({{"counts", std::move(counts)}});
 }
 
--- a/standins/backend/backend_service.h
+++ b/standins/backend/backend_service.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "core/platform/backend_port.h"
@@ -42,6 +43,11 @@
   int runs(const RequestId& request) const;
 
  private:
+  struct RunRecord {
+    int runs = 0;
+    std::string payload;
+  };
+
   void Run(const HttpRequest& request, const Responder& respond);
   void Answer(const BackendRequest& request, const Responder& respond);
   HttpResponse Reply(const BackendRequest& request);
@@ -55,7 +61,7 @@
   int used_slots_ = 0;
   bool leaving_ = false;
   BackendFaults faults_;
-  std::map<RequestId, int> runs_;
+  std::map<RequestId, RunRecord> runs_;
   std::optional<BackendRequest> previous_;
   std::vector<Responder> unanswered_;
 };
