Deliver what quetzalshelfctl shows and name faulty parameters

`nodes`, `status`, `timeline`, `job result` and conflicts expected fields that the daemon did not deliver: the address, settings version, store state and shards of a node; counts of jobs and workers; failure domains with their use.

/v1/nodes and /v1/status now deliver these fields, /v1/settings takes a version and /v1/jobs a limit. Unknown and malformed query parameters are findings that name the parameter. A change without an author records the name of the access token. quetzalshelfctl asks the owner of the shard for the status, prints the outcome of requests that did not run, and shows one job as a table.

--- a/main/ctl/cluster_commands.cc
+++ b/main/ctl/cluster_commands.cc
@@ -37,6 +37,14 @@
   return text.empty() ? "-" : text;
 }
 
+// Null when the node was not heard lately.
+std::string StoreText(const Json& node) {
+  const std::string reachable = Text(node, "store_reachable");
+  if (reachable.empty())
+    return "not known";
+  return reachable == "true" ? "reachable" : "not reachable";
+}
+
 bool Passes(const Json& event, const TimelineOptions& options) {
   const auto differs = [&event](const char* field, const std::string& wanted) {
     return !wanted.empty() && Text(event, field) != wanted;
@@ -205,6 +213,17 @@
   return page + kPageTail;
 }
 
+void PrintDomains(Context& context, const Json& status) {
+  TextTable table({"FAILURE DOMAIN", "REGION", "SERVICE", "WORKERS",
+                   "ACCELERATORS", "USED", "GANGS"});
+  for (const Json& it : List(status, "domains"))
+    table.AddRow({Cell(it, "domain"), Cell(it, "region"),
+                  Text(it, "in_service") == "true" ? "in" : "out",
+                  Cell(it, "workers"), Cell(it, "accelerators"),
+                  Cell(it, "accelerators_used"), Cell(it, "gangs")});
+  table.Print(context.out);
+}
+
 Exit ShowNodes(Context& context) {
   const ApiReply reply = context.client.Get("/v1/nodes");
   if (!reply.ok())
@@ -216,18 +235,54 @@
   TextTable table({"NODE", "ADDRESS", "REGION", "FAILURE DOMAIN", "STATE",
                    "SETTINGS", "STORE", "SHARDS"});
   for (const Json& it : List(reply.body, "nodes")) {
-    const bool reachable = Text(it, "store_reachable") != "false";
     table.AddRow({Cell(it, "node"), Cell(it, "address"), Cell(it, "region"),
                   Cell(it, "domain"), Cell(it, "state"),
-                  Cell(it, "settings_version"),
-                  reachable ? "reachable" : "not reachable", ShardText(it)});
+                  Cell(it, "settings_version"), StoreText(it), ShardText(it)});
   }
   table.Print(context.out);
   return Exit::kOk;
 }
 
+ApiReply FetchStatus(Context& context) {
+  ApiReply reply = context.client.Get("/v1/status");
+  if (!reply.ok())
+    return reply;
+  const Json& shards = List(reply.body, "shards");
+  if (shards.empty() || Text(shards.front(), "owned_here") == "true")
+    return reply;
+  const auto owner = ParseServer(Text(shards.front(), "owner_address"));
+  if (owner) {
+    ApiReply from_owner = context.client.GetFrom(*owner, "/v1/status");
+    if (from_owner.ok())
+      return from_owner;
+    context.err << "warning: the owner of the shard: " << from_owner.message
+                << "\n";
+  } else {
+    context.err << "warning: the shard has no known owner\n";
+  }
+  return reply;
+}
+
+void PrintUnheldGuarantees(Context& context,
+                           const Json& status,
+                           const std::string& workspace) {
+  auto it = status.find("guarantees");
+  if (it == status.end() || !it->is_array()) {
+    context.err << "whether the guarantees are held is not known\n";
+    return;
+  }
+  for (const Json& guarantee : *it) {
+    const std::string name = Text(guarantee, "workspace");
+    if (!workspace.empty() && name != workspace)
+      continue;
+    context.out << "guarantee " << Number(guarantee, "guarantee") << " of "
+                << name << " is not held: " << Text(guarantee, "reason")
+                << "\n";
+  }
+}
+
 Exit ShowStatus(Context& context) {
-  const ApiReply reply = context.client.Get("/v1/status");
+  const ApiReply reply = FetchStatus(context);
   if (!reply.ok())
     return ReportFailure(context, reply);
   if (context.json) {
@@ -250,10 +305,8 @@
                    Cell(it, "workers"), Cell(it, "jobs_waiting"),
                    Cell(it, "jobs_running")});
   shards.Print(context.out);
-  for (const Json& it : List(reply.body, "guarantees"))
-    context.out << "guarantee " << Number(it, "guarantee") << " of "
-                << Text(it, "workspace")
-                << " is not held: " << Text(it, "reason") << "\n";
+  PrintDomains(context, reply.body);
+  PrintUnheldGuarantees(context, reply.body);
   return Exit::kOk;
 }
 
--- a/main/ctl/cluster_commands.h
+++ b/main/ctl/cluster_commands.h
@@ -11,6 +11,18 @@
 
 namespace quetzalshelf::ctl {
 
+// GET /v1/status of the node that owns the shard, since only it counts jobs and
+// guarantees; of any other node when the owner cannot be reached.
+ApiReply FetchStatus(Context& context);
+// The guarantees of a status that have no home, one a line, or that they are
+// not known. With a workspace only those of it.
+void PrintUnheldGuarantees(Context& context,
+                           const Json& status,
+                           const std::string& workspace = "");
+
+// The failure domains of a status as a table.
+void PrintDomains(Context& context, const Json& status);
+
 Exit ShowNodes(Context& context);
 Exit ShowStatus(Context& context);
 
--- a/main/ctl/command_line.cc
+++ b/main/ctl/command_line.cc
@@ -31,6 +31,8 @@
             "a placement.",
             "quetzalshelfctl") {
     change_.author = environment.variable("USER");
+    if (change_.author.empty())
+      change_.author = environment.variable("LOGNAME");
     // Commands inherit it, so that general options may follow them.
     app_.fallthrough();
     AddGlobals();
@@ -84,7 +86,8 @@
   void AddChange(CLI::App* app, bool with_base = true) {
     app->add_option("--reason", change_.reason, "Why; kept in the history")
         ->required();
-    app->add_option("--author", change_.author, "Who. Default: $USER");
+    app->add_option("--author", change_.author,
+                    "Who. Default: $USER, else the access token's name");
     app->add_flag("--dry-run", change_.dry_run,
                   "Check and show, but change "
                   "nothing");
@@ -162,7 +165,7 @@
                               return SettingsHistory(context, path_, limit_);
                             });
     AddPath(history, false);
-    AddLimit(history);
+    AddLimit(history, 200);
     CLI::App* revert =
         Add(group, "revert", "Undo the change of one version by a new one",
             [this](Context& context) {
@@ -181,9 +184,10 @@
         [](Context& context) { return SettingsReference(context); });
   }
 
-  void AddLimit(CLI::App* app) {
+  // `max` is the most that a node gives.
+  void AddLimit(CLI::App* app, int max) {
     app->add_option("--limit", limit_, "Most entries")
-        ->check(CLI::Range(1, 10'000));
+        ->check(CLI::Range(1, max));
   }
 
   void AddWorkspaces() {
@@ -241,7 +245,7 @@
     });
     list->add_option("--workspace", job_.workspace);
     list->add_option("--state", state_, "For example waiting or running");
-    AddLimit(list);
+    AddLimit(list, 1'000);
     const auto add = [this, group](const char* name, const char* help,
                                    auto run) {
       CLI::App* app = Add(group, name, help, [this, run](Context& context) {
--- a/main/ctl/context.cc
+++ b/main/ctl/context.cc
@@ -17,8 +17,8 @@
       }));
 }
 
-void PrintConflict(Context& context, const Json& error) {
-  const Json& conflict = Object(error, "conflict");
+void PrintConflict(Context& context, const Json& reply) {
+  const Json& conflict = Object(reply, "conflict");
   if (conflict.empty())
     return;
   const auto value = [&conflict](const char* field) {
@@ -76,7 +76,7 @@
   context.err << "error: " << reply.message << "\n";
   for (const Finding& it : reply.findings.items())
     context.err << "  " << quetzalshelf::ToString(it) << "\n";
-  PrintConflict(context, Object(reply.body, "error"));
+  PrintConflict(context, reply.body);
   return reply.exit;
 }
 
--- a/main/ctl/job_commands.cc
+++ b/main/ctl/job_commands.cc
@@ -1,5 +1,6 @@
 #include "main/ctl/job_commands.h"
 
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -74,6 +75,7 @@
   reader.OptionalString("urgency");
   reader.OptionalInt("declared_run_ms", 0, int64_t{1} << 40, 0);
   reader.OptionalBool("can_checkpoint", true);
+  reader.OptionalInt("max_failures", 1, 100, 3);
   reader.OptionalString("payload", "", size_t{1} << 26);
   reader.Finish();
   return findings;
@@ -117,8 +119,65 @@
   return Exit::kOk;
 }
 
+// The workers of a gang, each with the number of its tasks there.
+std::string PlacementText(const Json& job) {
+  std::map<std::string, int> tasks;
+  for (const Json& it : List(job, "placement"))
+    ++tasks[it.is_string() ? it.get<std::string>() : it.dump()];
+  std::string text;
+  for (const auto& [worker, n] : tasks) {
+    if (!text.empty())
+      text += ", ";
+    text += worker + " (" + std::to_string(n) + ")";
+  }
+  return text;
+}
+
+std::string ShapeText(const Json& job) {
+  const Json& resources = Object(job, "resources");
+  return Text(job, "tasks") + " tasks of " +
+         std::to_string(Number(resources, "accelerators")) + " accelerators, " +
+         std::to_string(Number(resources, "cpu_milli")) +
+         " thousandths of a core and " +
+         std::to_string(Number(resources, "memory_mib")) +
+         " MiB each, in one " + Text(job, "adjacency");
+}
+
+std::string CountedSeconds(const Json& job, const char* field) {
+  const uint64_t millis = Number(job, field);
+  return millis == 0 ? "" : std::to_string(millis / 1'000) + " s";
+}
+
+void PrintJob(Context& context, const Json& job) {
+  const bool guaranteed = Text(job, "guaranteed") == "true";
+  const Json& why = Object(job, "why");
+  TextTable table({"JOB", Text(job, "id")});
+  const auto add = [&table](const char* name, const std::string& value) {
+    if (!value.empty())
+      table.AddRow({name, value});
+  };
+  add("workspace", Text(job, "workspace"));
+  add("kind", Text(job, "kind"));
+  add("state",
+      Text(job, "state") + (guaranteed ? ", charged to a guarantee" : ""));
+  add("attempt", Text(job, "attempt"));
+  add("urgency", Text(job, "urgency"));
+  add("shape", ShapeText(job));
+  add("workers (tasks)", PlacementText(job));
+  add("declared run time", CountedSeconds(job, "declared_run_ms"));
+  add("saved by checkpoint", CountedSeconds(job, "checkpoint_ms"));
+  add("detail", Text(job, "detail"));
+  add("why", Text(why, "sentence"));
+  add("remedy", Text(why, "remedy"));
+  table.Print(context.out);
+}
+
 Exit ReportOutcome(Context& context, const ApiReply& reply) {
   const std::string outcome = Text(reply.body, "outcome");
+  // An outcome comes with the statuses 200, 503 and 504; other answers are
+  // errors.
+  if (outcome.empty() && !reply.ok())
+    return ReportFailure(context, reply);
   if (context.json) {
     PrintJson(context, reply.body);
   } else if (outcome == "answered") {
@@ -164,7 +223,11 @@
 }
 
 Exit JobStatus(Context& context, const std::string& id) {
-  return PrintReply(context, context.client.Get(JobTarget(id)));
+  const ApiReply reply = context.client.Get(JobTarget(id));
+  if (!reply.ok() || context.json)
+    return PrintReply(context, reply);
+  PrintJob(context, reply.body);
+  return Exit::kOk;
 }
 
 Exit JobList(Context& context,
@@ -187,6 +250,8 @@
                   Cell(Object(it, "resources"), "accelerators"),
                   Cell(it, "urgency")});
   table.Print(context.out);
+  if (Text(reply.body, "truncated") == "true")
+    context.err << "there are more jobs; raise --limit or filter\n";
   return Exit::kOk;
 }
 
@@ -211,10 +276,15 @@
   const ApiReply reply = context.client.Get(JobTarget(id, "/result"));
   if (!reply.ok())
     return ReportFailure(context, reply);
-  const std::string result =
-      context.json ? reply.body.dump() : Text(reply.body, "result");
+  const std::string result = reply.body.dump() + "\n";
+  if (file.empty() && context.json) {
+    context.out << result;
+    return Exit::kOk;
+  }
   if (file.empty()) {
-    context.out << result << "\n";
+    for (const Json& it : List(reply.body, "tasks"))
+      context.out << (it.is_string() ? it.get<std::string>() : it.dump())
+                  << "\n";
     return Exit::kOk;
   }
   if (const auto status = context.environment.write_file(file, result);
@@ -237,9 +307,7 @@
   HttpCall call{"POST", "/v1/requests", ""};
   if (options.idempotent) {
     call.body = body.dump();
-    const ApiReply reply = context.client.CallIdempotent(call);
-    return reply.ok() ? ReportOutcome(context, reply)
-                      : ReportFailure(context, reply);
+    return ReportOutcome(context, context.client.CallIdempotent(call));
   }
   body["ticket"] = "";
   (void)body.dump();  // Faults of the text come to light before the ticket.
@@ -252,9 +320,7 @@
   }
   body["ticket"] = Text(ticket.body, "ticket");
   call.body = body.dump();
-  const ApiReply reply = context.client.CallOnce(call);
-  return reply.ok() ? ReportOutcome(context, reply)
-                    : ReportFailure(context, reply);
+  return ReportOutcome(context, context.client.CallOnce(call));
 }
 
 }  // namespace quetzalshelf::ctl
--- a/main/ctl/job_commands.h
+++ b/main/ctl/job_commands.h
@@ -37,7 +37,8 @@
              int limit);
 Exit JobCancel(Context& context, const std::string& id);
 Exit JobWhy(Context& context, const std::string& id);
-// Writes the result to `file`, or prints it when `file` is empty.
+// Writes the result as JSON to `file`, or prints the result of each task on its
+// own line when `file` is empty.
 Exit JobResult(Context& context,
                const std::string& id,
                const std::string& file);
--- a/main/ctl/settings_change.cc
+++ b/main/ctl/settings_change.cc
@@ -43,12 +43,13 @@
                      const Json& value,
                      uint64_t fetched_version,
                      const ChangeOptions& options) {
-  const Json body = {
-      {"base_version", options.base_version.value_or(fetched_version)},
-      {"author", options.author},
-      {"reason", options.reason},
-      {"value", value},
-      {"dry_run", options.dry_run}};
+  Json body = {{"base_version", options.base_version.value_or(fetched_version)},
+               {"reason", options.reason},
+               {"value", value},
+               {"dry_run", options.dry_run}};
+  // Without an author the node records the name of the access token.
+  if (!options.author.empty())
+    body["author"] = options.author;
   const HttpCall call{"PUT", SettingsTarget(path), body.dump()};
   return options.dry_run ? context.client.CallIdempotent(call)
                          : context.client.CallOnce(call);
--- a/main/ctl/settings_commands.cc
+++ b/main/ctl/settings_commands.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "core/yaml_reader.h"
+#include "main/ctl/cluster_commands.h"
 #include "main/ctl/settings_change.h"
 #include "servers/settings/schema.h"
 #include "servers/settings/settings_tree.h"
@@ -174,8 +175,7 @@
                    "the settings in force\n";
     return ReportFailure(context, plan.reply);
   }
-  const ChangeOptions options{
-      .reason = "check", .author = "check", .dry_run = true};
+  const ChangeOptions options{.reason = "check", .dry_run = true};
   ApiReply reply =
       PutSettings(context, plan.path, plan.after, plan.version, options);
   reply.findings = read->document.Locate(reply.findings);
@@ -240,8 +240,11 @@
     return Exit::kOk;
   }
   for (const Json& it : List(reply.body, "entries")) {
-    context.out << "version " << Number(it, "version") << " by "
-                << Text(it, "author") << ": " << Text(it, "reason") << "\n";
+    const auto millis = static_cast<int64_t>(Number(it, "wall_millis"));
+    context.out << "version " << Number(it, "version") << ", "
+                << FormatTime(millis) << " UTC, by " << Text(it, "author")
+                << " (access token " << Text(it, "access")
+                << "): " << Text(it, "reason") << "\n";
     PrintChanges(context, List(it, "changes"));
   }
   return Exit::kOk;
--- a/main/ctl/workspace_commands.cc
+++ b/main/ctl/workspace_commands.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "core/yaml_reader.h"
+#include "main/ctl/cluster_commands.h"
 #include "main/ctl/settings_change.h"
 #include "main/ctl/settings_commands.h"
 #include "servers/settings/schema.h"
@@ -75,7 +76,7 @@
                              : " goes out of service")
               << "\n";
   PrintWarnings(context, dry_run.body);
-  const ApiReply status = context.client.Get("/v1/status");
+  const ApiReply status = FetchStatus(context);
   if (!status.ok()) {
     context.err << "the gangs that will move are not known: " << status.message
                 << "\n";
@@ -84,9 +85,9 @@
   for (const Json& it : List(status.body, "domains")) {
     if (Text(it, "domain") != domain)
       continue;
-    context.err << "running there now: " << Number(it, "gangs") << " gangs on "
-                << Number(it, "accelerators_used") << " of "
-                << Number(it, "accelerators") << " accelerators\n";
+    context.err << "running there now: " << Cell(it, "gangs") << " gangs on "
+                << Cell(it, "accelerators_used") << " of "
+                << Cell(it, "accelerators") << " accelerators\n";
   }
 }
 
@@ -131,7 +132,7 @@
     context.err << "error: there is no workspace " << name << "\n";
     return Exit::kRefused;
   }
-  const ApiReply status = context.client.Get("/v1/status");
+  const ApiReply status = FetchStatus(context);
   Json unheld = Json::array();
   for (const Json& it : List(status.body, "guarantees")) {
     if (Text(it, "workspace") == name)
@@ -149,9 +150,8 @@
   if (!status.ok())
     context.err << "whether the guarantees are held is not known: "
                 << status.message << "\n";
-  for (const Json& it : unheld)
-    context.out << "guarantee " << Number(it, "guarantee")
-                << " is not held: " << Text(it, "reason") << "\n";
+  else
+    PrintUnheldGuarantees(context, status.body, name);
   return Exit::kOk;
 }
 
@@ -231,7 +231,7 @@
 }
 
 Exit DomainStatus(Context& context) {
-  const ApiReply status = context.client.Get("/v1/status");
+  const ApiReply status = FetchStatus(context);
   if (!status.ok())
     return ReportFailure(context, status);
   if (context.json) {
@@ -239,18 +239,8 @@
                         {"guarantees", List(status.body, "guarantees")}});
     return Exit::kOk;
   }
-  TextTable table({"FAILURE DOMAIN", "REGION", "IN SERVICE", "WORKERS",
-                   "ACCELERATORS", "USED", "GANGS"});
-  for (const Json& it : List(status.body, "domains"))
-    table.AddRow({Cell(it, "domain"), Cell(it, "region"),
-                  Cell(it, "in_service"), Cell(it, "workers"),
-                  Cell(it, "accelerators"), Cell(it, "accelerators_used"),
-                  Cell(it, "gangs")});
-  table.Print(context.out);
-  for (const Json& it : List(status.body, "guarantees"))
-    context.out << "guarantee " << Number(it, "guarantee") << " of "
-                << Text(it, "workspace")
-                << " is not held: " << Text(it, "reason") << "\n";
+  PrintDomains(context, status.body);
+  PrintUnheldGuarantees(context, status.body);
   return Exit::kOk;
 }
 
--- a/main/daemon/api/job_api.cc
+++ b/main/daemon/api/job_api.cc
@@ -1,5 +1,7 @@
 #include "main/daemon/api/job_api.h"
 
+#include <algorithm>
+#include <array>
 #include <string>
 #include <utility>
 
@@ -7,35 +9,64 @@
 #include "drivers/http/json_body.h"
 #include "main/daemon/api/access.h"
 #include "main/daemon/api/job_codec.h"
+#include "main/daemon/api/query_reader.h"
 
 namespace quetzalshelf {
 
 namespace {
 
-constexpr int kMaxListedJobs = 1'000;
+constexpr int64_t kMaxListedJobs = 1'000;
 
 absl::Status NoOwnerStatus() {
   return absl::UnavailableError(
       "not run: the shard has no owner at the moment; try again");
 }
 
-// Whether a listed job matches the query.
-bool Matches(const HttpRequest& request, const jobs::JobRecord& record) {
-  const std::string workspace = request.Query("workspace");
-  const std::string state = request.Query("state");
+constexpr std::array kJobStates = {
+    jobs::JobState::kWaiting,   jobs::JobState::kStarting,
+    jobs::JobState::kRunning,   jobs::JobState::kFinished,
+    jobs::JobState::kCancelled, jobs::JobState::kRefused,
+    jobs::JobState::kFailed};
+
+// What a list is limited to.
+struct JobFilter {
+  std::string workspace;
+  std::string state;
+  size_t limit = 0;
+};
+
+JobFilter ReadFilter(QueryReader& query) {
+  JobFilter filter;
+  filter.workspace = query.Text("workspace");
+  filter.state = query.Text("state");
+  filter.limit = static_cast<size_t>(
+      query.Number("limit", 1, kMaxListedJobs).value_or(kMaxListedJobs));
+  const bool known = std::any_of(
+      kJobStates.begin(), kJobStates.end(),
+      [&filter](auto it) { return jobs::ToString(it) == filter.state; });
+  if (!filter.state.empty() && !known) {
+    query.AddFinding("state", "is not a state of a job",
+                     "use one of: waiting, starting, running, finished, "
+                     "cancelled, refused, failed");
+  }
+  return filter;
+}
+
+bool Matches(const JobFilter& filter, const jobs::JobRecord& record) {
+  const std::string& workspace = filter.workspace;
   const bool workspace_matches =
       workspace.empty() || record.spec.job.workspace.value() == workspace;
   return workspace_matches &&
-         (state.empty() || jobs::ToString(record.state) == state);
+         (filter.state.empty() || jobs::ToString(record.state) == filter.state);
 }
 
+// A job without its payload and placement, which may be large.
 Json EncodeListEntry(const jobs::JobRecord& record) {
-  return {{"id", record.spec.job.id.value()},
-          {"workspace", record.spec.job.workspace.value()},
-          {"kind", record.spec.job.kind},
-          {"state", jobs::ToString(record.state)},
-          {"tasks", record.spec.job.gang.tasks},
-          {"attempt", record.attempt.value()}};
+  Json json = jobs::WriteJobSpec(record.spec);
+  json.erase("payload");
+  json["state"] = jobs::ToString(record.state);
+  json["attempt"] = record.attempt.value();
+  return json;
 }
 
 }  // namespace
@@ -115,12 +146,23 @@
 void JobApi::List(jobs::JobService& service,
                   const HttpRequest& request,
                   const Responder& respond) {
+  QueryReader query(request);
+  const JobFilter filter = ReadFilter(query);
+  if (const Findings& findings = query.Finish(); !findings.empty()) {
+    respond(ErrorResponse(findings));
+    return;
+  }
+  if (service.phase() == jobs::JobService::Phase::kLoading) {
+    respond(ErrorResponse(
+        absl::UnavailableError("the jobs are still being read; try again")));
+    return;
+  }
   Json items = Json::array();
   bool truncated = false;
   for (const auto& [id, record] : service.rows().records()) {
-    if (!Matches(request, record))
+    if (!Matches(filter, record))
       continue;
-    truncated = items.size() >= kMaxListedJobs;
+    truncated = items.size() >= filter.limit;
     if (truncated)
       break;
     items.push_back(EncodeListEntry(record));
--- a/main/daemon/api/node_api.cc
+++ b/main/daemon/api/node_api.cc
@@ -1,18 +1,20 @@
 #include "main/daemon/api/node_api.h"
 
-#include <charconv>
+#include <string>
 #include <utility>
 
 #include "drivers/http/api_error.h"
 #include "drivers/http/json_body.h"
 #include "main/daemon/api/access.h"
+#include "main/daemon/api/query_reader.h"
+#include "main/daemon/api/status_report.h"
 
 namespace quetzalshelf {
 
 namespace {
 
-constexpr size_t kDefaultTimelineEvents = 1'000;
-constexpr size_t kMaxTimelineEvents = 10'000;
+constexpr int64_t kDefaultTimelineEvents = 1'000;
+constexpr int64_t kMaxTimelineEvents = 10'000;
 
 HttpResponse TextResponse(int status, std::string body) {
   HttpResponse response;
@@ -22,27 +24,25 @@
   return response;
 }
 
-// The limit of the query, or 0 when it is not valid.
-size_t TimelineLimit(const std::string& text) {
-  if (text.empty())
-    return kDefaultTimelineEvents;
-  size_t n = 0;
-  const char* end = text.data() + text.size();
-  const auto [last, ec] = std::from_chars(text.data(), end, n);
-  const bool valid =
-      ec == std::errc() && last == end && n <= kMaxTimelineEvents;
-  return valid ? n : 0;
-}
-
-Json EncodeUnheld(const std::vector<scheduling::UnheldGuarantee>& unheld) {
-  Json items = Json::array();
-  for (const auto& it : unheld) {
-    items.push_back({{"workspace", it.workspace.value()},
-                     {"guarantee", it.guarantee},
-                     {"missing", it.missing},
-                     {"reason", it.reason}});
-  }
-  return items;
+// `settings_version` and `store_reachable` are null for a node that was not
+// heard lately.
+Json EncodeNode(const KnownNode& node) {
+  const PeerAddress& address = node.address;
+  Json json = {{"node", address.node.value()},
+               {"address", address.host + ":" + std::to_string(address.port)},
+               {"incarnation", node.incarnation.value()},
+               {"region", node.region.value()},
+               {"domain", node.domain.value()},
+               {"state", node.leaving ? "leaving" : "live"},
+               {"self", node.is_self},
+               {"settings_version", nullptr},
+               {"store_reachable", nullptr},
+               {"shards", Json::array()}};
+  if (node.settings)
+    json["settings_version"] = node.settings->value();
+  if (node.store_reachable)
+    json["store_reachable"] = *node.store_reachable;
+  return json;
 }
 
 }  // namespace
@@ -79,47 +79,45 @@
 }
 
 HttpResponse NodeApi::Nodes() const {
+  const auto owner = deps_.shard.Owner();
   Json nodes = Json::array();
   for (const KnownNode& it : deps_.nodes.nodes()) {
-    nodes.push_back({{"node", it.address.node.value()},
-                     {"host", it.address.host},
-                     {"port", it.address.port},
-                     {"incarnation", it.incarnation.value()},
-                     {"region", it.region.value()},
-                     {"domain", it.domain.value()},
-                     {"state", it.leaving ? "leaving" : "live"},
-                     {"self", it.is_self}});
+    Json node = EncodeNode(it);
+    if (owner && owner->node == it.address.node) {
+      node["shards"].push_back({{"region", deps_.shard.region().value()},
+                                {"epoch", deps_.shard.epoch().value()}});
+    }
+    nodes.push_back(std::move(node));
   }
   return JsonResponse({{"nodes", std::move(nodes)}});
 }
 
 HttpResponse NodeApi::Status() const {
-  Json domains = Json::object();
-  for (const auto& it : deps_.settings.tree().Domains())
-    domains[it.domain.value()] = it.in_service ? "in" : "out";
-  const auto owner = deps_.shard.Owner();
+  const std::string reason = deps_.not_ready();
   return JsonResponse(
-      {{"ready", deps_.not_ready().empty()},
-       {"reason", deps_.not_ready()},
+      {{"node", deps_.node.value()},
+       {"ready", reason.empty()},
+       {"reason", reason},
        {"settings_version", deps_.settings.version().value()},
-       {"shard",
-        {{"region", deps_.shard.region().value()},
-         {"owner", owner ? owner->node.value() : ""},
-         {"epoch", deps_.shard.epoch().value()},
-         {"owned_here", deps_.shard.IsOwner()}}},
-       {"domains", std::move(domains)},
-       {"unheld_guarantees", EncodeUnheld(deps_.shard.UnheldGuarantees())}});
+       {"store_reachable", deps_.store_reachable()},
+       {"shards", Json::array({EncodeShard(deps_.shard)})},
+       {"domains", EncodeDomains(deps_.shard, deps_.settings.tree())},
+       {"guarantees", EncodeUnheld(deps_.shard)}});
 }
 
 HttpResponse NodeApi::Timeline(const HttpRequest& request) const {
-  const size_t limit = TimelineLimit(request.Query("limit"));
-  if (limit == 0) {
-    return ErrorResponse(absl::InvalidArgumentError(
-        "limit: must be from 1 to " + std::to_string(kMaxTimelineEvents)));
+  QueryReader query(request);
+  const int64_t limit = query.Number("limit", 1, kMaxTimelineEvents)
+                            .value_or(kDefaultTimelineEvents);
+  const std::string after_text = query.Text("after");
+  const HybridTime after = ParseHybridTime(after_text);
+  if (!after_text.empty() && ToString(after) != after_text) {
+    query.AddFinding("after", "must be the `hlc` of an event or 0.0");
   }
+  if (const Findings& findings = query.Finish(); !findings.empty())
+    return ErrorResponse(findings);
   Json events = Json::array();
-  const HybridTime after = ParseHybridTime(request.Query("after"));
-  for (const Event& it : deps_.events.Read(after, limit))
+  for (const Event& it : deps_.events.Read(after, static_cast<size_t>(limit)))
     events.push_back(it);
   return JsonResponse({{"events", std::move(events)}});
 }
--- a/main/daemon/api/node_api.h
+++ b/main/daemon/api/node_api.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/event_log.h"
+#include "core/ids.h"
 #include "core/metrics.h"
 #include "core/time.h"
 #include "drivers/http/http_server.h"
@@ -19,6 +20,7 @@
 
 // What the interface works with; everything must outlive the server.
 struct NodeApiDeps {
+  NodeId node;
   const NodeDirectory& nodes;
   const ShardHost& shard;
   const settings::SettingsService& settings;
@@ -27,6 +29,7 @@
   MetricsRegistry& metrics;
   // The reasons for which the node takes no calls, empty when it does.
   std::function<std::string()> not_ready;
+  std::function<bool()> store_reachable;
 };
 
 // GET /healthz, /readyz, /metrics, /v1/nodes, /v1/timeline and /v1/status.
--- a/main/daemon/api/request_api.cc
+++ b/main/daemon/api/request_api.cc
@@ -33,6 +33,16 @@
   return response;
 }
 
+// The router refuses a request that does not name an existing workspace.
+HttpResponse RefusedResponse(const absl::Status& status) {
+  if (status.code() != absl::StatusCode::kNotFound)
+    return ErrorResponse(status);
+  Findings findings;
+  findings.Add({"", 0, "workspace"}, std::string(status.message()),
+               "create it, or name an existing one");
+  return ErrorResponse(findings);
+}
+
 }  // namespace
 
 void RequestApi::Register(HttpServer& server) {
@@ -49,6 +59,15 @@
                              const Responder& respond) {
   if (!RequireToken(deps_.access, request, respond))
     return;
+  Findings findings;
+  if (!request.body.empty()) {
+    if (const auto json = ParseJson(request.body, findings))
+      JsonReader(*json, "", findings).Finish();
+  }
+  if (!findings.empty()) {
+    respond(ErrorResponse(findings));
+    return;
+  }
   const TicketId ticket = deps_.router.IssueTicket(deps_.clock.Now());
   respond(JsonResponse({{"ticket", ticket.value()}}));
 }
@@ -79,7 +98,8 @@
   const TimePoint now = deps_.clock.Now();
   message.request.deadline = now + message.timeout;
   deps_.router.Submit(std::move(message.request), now, [respond](auto reply) {
-    respond(reply.ok() ? ReplyResponse(*reply) : ErrorResponse(reply.status()));
+    respond(reply.ok() ? ReplyResponse(*reply)
+                       : RefusedResponse(reply.status()));
   });
 }
 
@@ -89,7 +109,10 @@
   const TicketId ticket = message.request.ticket;
   const auto parts = routing::ParseTicket(ticket);
   if (!parts.ok()) {
-    respond(ErrorResponse(parts.status()));
+    Findings findings;
+    findings.Add({"", 0, "ticket"}, std::string(parts.status().message()),
+                 "get one from POST /v1/tickets");
+    respond(ErrorResponse(findings));
     return;
   }
   const KnownNode* issuer = deps_.nodes.Find(parts->node);
--- a/main/daemon/api/settings_api.cc
+++ b/main/daemon/api/settings_api.cc
@@ -1,7 +1,6 @@
 #include "main/daemon/api/settings_api.h"
 
 #include <array>
-#include <charconv>
 #include <limits>
 #include <optional>
 #include <utility>
@@ -9,6 +8,7 @@
 #include "drivers/http/api_error.h"
 #include "drivers/http/json_body.h"
 #include "main/daemon/api/access.h"
+#include "main/daemon/api/query_reader.h"
 #include "servers/settings/settings_rows.h"
 
 namespace quetzalshelf {
@@ -26,16 +26,17 @@
 constexpr Duration kChangeAnswerLimit{15'000};
 constexpr int64_t kMaxVersion = std::numeric_limits<int64_t>::max();
 
-// A decimal number in [min, max], or nullopt.
-std::optional<int64_t> ParseNumber(const std::string& text,
-                                   int64_t min,
-                                   int64_t max) {
-  int64_t n = 0;
-  const char* end = text.data() + text.size();
-  const auto [last, ec] = std::from_chars(text.data(), end, n);
-  if (ec != std::errc() || last != end || n < min || n > max)
-    return std::nullopt;
-  return n;
+// Reading an older version takes one read for each later one.
+constexpr uint64_t kMaxVersionsBack = 1'000;
+
+Findings FindingAt(const std::string& place, const std::string& message) {
+  Findings findings;
+  findings.Add({"", 0, place}, message);
+  return findings;
+}
+
+std::string MessageOf(const absl::Status& status) {
+  return std::string(status.message());
 }
 
 Json EncodeFindings(const Findings& findings) {
@@ -71,7 +72,8 @@
   ChangeRequest change;
   change.base_version = SettingsVersion(
       static_cast<uint64_t>(reader.RequireInt("base_version", 0, kMaxVersion)));
-  change.author = reader.RequireString("author");
+  // The name of the access token stands in for a missing author.
+  change.author = reader.OptionalString("author");
   change.reason = reader.RequireString("reason", 1'024);
   change.dry_run = reader.OptionalBool("dry_run", false);
   if (!reader.Has("value"))
@@ -109,6 +111,13 @@
   return response;
 }
 
+HttpResponse EncodeValue(const settings::SettingsTree& tree,
+                         const SettingsPath& path) {
+  return JsonResponse({{"version", tree.version().value()},
+                       {"path", path.text()},
+                       {"value", tree.GetOrDefault(path)}});
+}
+
 HttpResponse EncodeChangeResponse(const ChangeResult& result) {
   switch (result.outcome) {
     case ChangeOutcome::kAccepted:
@@ -152,15 +161,31 @@
     respond(ErrorResponse(absl::UnavailableError(service_.NotReadyReason())));
     return;
   }
+  QueryReader query(request);
+  const auto version = query.Number("version", 0, kMaxVersion);
   const auto path = SettingsPath::Parse(request.Param("path"));
-  if (!path.ok()) {
-    respond(ErrorResponse(path.status()));
+  if (!path.ok())
+    query.AddFinding(request.Param("path"), MessageOf(path.status()));
+  const uint64_t current = service_.version().value();
+  const uint64_t wanted = version ? static_cast<uint64_t>(*version) : current;
+  if (wanted + kMaxVersionsBack < current) {
+    query.AddFinding(
+        "version",
+        "is more than " + std::to_string(kMaxVersionsBack) + " versions old",
+        "read the history instead");
+  }
+  if (const Findings& findings = query.Finish(); !findings.empty()) {
+    respond(ErrorResponse(findings));
     return;
   }
-  const Json json = {{"version", service_.version().value()},
-                     {"path", path->text()},
-                     {"value", service_.tree().GetOrDefault(*path)}};
-  respond(JsonResponse(json));
+  const auto respond_with = [respond, path = *path](const auto& tree) {
+    respond(tree.ok() ? EncodeValue(*tree, path)
+                      : ErrorResponse(tree.status()));
+  };
+  if (wanted == current)
+    respond_with(absl::StatusOr<settings::SettingsTree>(service_.tree()));
+  else
+    service_.TreeAt(SettingsVersion(wanted), respond_with);
 }
 
 void SettingsApi::Put(const HttpRequest& request, const Responder& respond) {
@@ -180,6 +205,8 @@
     return;
   }
   change->access = access->name;
+  if (change->author.empty())
+    change->author = access->name;
   change->wall_millis = clock_.WallMillis();
   service_.Change(*std::move(change), clock_.Now(),
                   [respond](const ChangeResult& result) {
@@ -191,21 +218,18 @@
                           const Responder& respond) {
   if (!RequireToken(access_, request, respond))
     return;
-  const auto path = SettingsPath::Parse(request.Query("path"));
-  if (!path.ok()) {
-    respond(ErrorResponse(path.status()));
-    return;
-  }
-  const std::string limit_text = request.Query("limit");
-  const auto limit = limit_text.empty()
-                         ? kDefaultHistoryEntries
-                         : ParseNumber(limit_text, 1, kMaxHistoryEntries);
-  if (!limit) {
-    respond(ErrorResponse(absl::InvalidArgumentError(
-        "limit: must be from 1 to " + std::to_string(kMaxHistoryEntries))));
+  QueryReader query(request);
+  const std::string path_text = query.Text("path");
+  const auto path = SettingsPath::Parse(path_text);
+  if (!path.ok())
+    query.AddFinding("path", MessageOf(path.status()));
+  const int64_t limit = query.Number("limit", 1, kMaxHistoryEntries)
+                            .value_or(kDefaultHistoryEntries);
+  if (const Findings& findings = query.Finish(); !findings.empty()) {
+    respond(ErrorResponse(findings));
     return;
   }
-  service_.History(*path, static_cast<int>(*limit), [respond](auto entries) {
+  service_.History(*path, static_cast<int>(limit), [respond](auto entries) {
     if (!entries.ok()) {
       respond(ErrorResponse(entries.status()));
       return;
@@ -223,8 +247,7 @@
     return;
   const auto version = ParseNumber(request.Param("version"), 1, kMaxVersion);
   if (!version) {
-    respond(ErrorResponse(
-        absl::InvalidArgumentError("version: must be a whole number")));
+    respond(ErrorResponse(FindingAt("version", "must be a whole number")));
     return;
   }
   service_.HistoryAt(
--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -133,8 +133,9 @@
           {router_, nodes_, forwarder_, archive_, settings_, access_, clock_}),
       job_api_(shard_, forwarder_, access_, clock_),
       settings_api_(settings_, access_, clock_),
-      node_api_({nodes_, shard_, settings_, access_, events_, metrics_,
-                 [this] { return NotReadyReason(); }}),
+      node_api_({config_.node, nodes_, shard_, settings_, access_, events_,
+                 metrics_, [this] { return NotReadyReason(); },
+                 [this] { return gate_.reachable(); }}),
       internal_api_(
           settings_,
           [this](const auto& heartbeat) { return OnHeartbeat(heartbeat); }),
@@ -250,8 +251,16 @@
   std::vector<KnownNode> nodes;
   for (const cluster::MemberRow& it : membership_.Live(now)) {
     const bool is_self = it.address.node == config_.node;
-    nodes.push_back({it.address, it.incarnation, it.region, it.domain,
-                     it.leaving, is_self});
+    KnownNode node{it.address, it.incarnation, it.region,
+                   it.domain,  it.leaving,     is_self};
+    if (is_self) {
+      node.settings = settings_.version();
+      node.store_reachable = gate_.reachable();
+    } else if (const auto heard = membership_.LastHeard(it.address.node, now)) {
+      node.settings = heard->settings;
+      node.store_reachable = heard->store_reachable;
+    }
+    nodes.push_back(std::move(node));
   }
   nodes_.Replace(std::move(nodes));
   settings_.SetPeers(nodes_.Peers());
--- a/main/daemon/node_directory.h
+++ b/main/daemon/node_directory.h
@@ -3,6 +3,7 @@
 #ifndef MAIN_DAEMON_NODE_DIRECTORY_H_
 #define MAIN_DAEMON_NODE_DIRECTORY_H_
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -18,6 +19,9 @@
   DomainId domain;
   bool leaving = false;
   bool is_self = false;
+  // Nullopt for a peer that was not heard lately.
+  std::optional<SettingsVersion> settings;
+  std::optional<bool> store_reachable;
 };
 
 // Live nodes only, this one included. Single-threaded.
--- a/main/daemon/shard_host.cc
+++ b/main/daemon/shard_host.cc
@@ -85,6 +85,19 @@
   return service_->UnheldGuarantees();
 }
 
+std::vector<scheduling::Worker> ShardHost::Workers() const {
+  std::vector<scheduling::Worker> workers;
+  if (!workers_)
+    return workers;
+  for (const jobs::WorkerEntry& it : *workers_)
+    workers.push_back(it.worker);
+  return workers;
+}
+
+const jobs::JobRows* ShardHost::Rows() const {
+  return service_ == nullptr ? nullptr : &service_->rows();
+}
+
 void ShardHost::StartService(TimePoint now) {
   service_epoch_ = lease_.epoch();
   Log("shard.taken", "this node decides for the shard");
--- a/main/daemon/shard_host.h
+++ b/main/daemon/shard_host.h
@@ -67,6 +67,10 @@
   std::optional<PeerAddress> Owner() const;
   bool HasWorkspace(const WorkspaceId& workspace) const;
   std::vector<scheduling::UnheldGuarantee> UnheldGuarantees() const;
+  // The workers of the region as last listed, usable or not.
+  std::vector<scheduling::Worker> Workers() const;
+  // Null when this node does not hold the shard.
+  const jobs::JobRows* Rows() const;
 
  private:
   void StartService(TimePoint now);
--- a/servers/cluster/membership.cc
+++ b/servers/cluster/membership.cc
@@ -311,6 +311,14 @@
   return it->second.row.address;
 }
 
+std::optional<PeerHeartbeat> Membership::LastHeard(const NodeId& node,
+                                                   TimePoint now) const {
+  auto it = heard_.find(node);
+  if (it == heard_.end() || now - it->second.at > options_.heartbeat_lifetime)
+    return std::nullopt;
+  return it->second.heartbeat;
+}
+
 Epoch Membership::HighestEpoch(const RegionId& region) const {
   auto it = epochs_.find(region);
   return it == epochs_.end() ? Epoch() : it->second;
--- a/servers/cluster/membership.h
+++ b/servers/cluster/membership.h
@@ -94,6 +94,9 @@
   // All live nodes, with this one.
   std::vector<MemberRow> Live(TimePoint now) const;
   std::optional<PeerAddress> AddressOf(const NodeId& node) const;
+  // What a peer said last, if it was heard within the heartbeat lifetime.
+  std::optional<PeerHeartbeat> LastHeard(const NodeId& node,
+                                         TimePoint now) const;
   // The largest epoch of the shard that any node told of.
   Epoch HighestEpoch(const RegionId& region) const;
   // The largest settings version that a peer told of.
