--- a/main/daemon/api/job_codec.cc
+++ b/main/daemon/api/job_codec.cc
@@ -93,7 +93,8 @@
     case SubmitOutcome::kExisting:
       return JobOutcome(reply.job, "existing", 200);
     case SubmitOutcome::kConflict:
-      return ErrorResponse(absl::AlreadyExistsError(reply.message));
+      return ErrorResponse(absl::AlreadyExistsError(
+          "job `" + reply.job.value() + "`: " + reply.message));
     case SubmitOutcome::kInvalid:
       return ErrorResponse(absl::InvalidArgumentError(reply.message));
     case SubmitOutcome::kNotRun:
--- a/main/daemon/api/node_api.cc
+++ b/main/daemon/api/node_api.cc
@@ -55,11 +55,11 @@
   server.Handle("GET", "/metrics",
                 [this](auto, auto respond) { respond(Metrics()); });
   server.Handle("GET", "/v1/nodes", [this](auto request, auto respond) {
-    if (RequireToken(deps_.access, request, respond))
+    if (AcceptsPlain(request, respond))
       respond(Nodes());
   });
   server.Handle("GET", "/v1/status", [this](auto request, auto respond) {
-    if (RequireToken(deps_.access, request, respond))
+    if (AcceptsPlain(request, respond))
       respond(Status());
   });
   server.Handle("GET", "/v1/timeline", [this](auto request, auto respond) {
@@ -68,6 +68,16 @@
   });
 }
 
+bool NodeApi::AcceptsPlain(const HttpRequest& request,
+                           const Responder& respond) const {
+  if (!RequireToken(deps_.access, request, respond))
+    return false;
+  const Findings findings = QueryReader(request).Finish();
+  if (!findings.empty())
+    respond(ErrorResponse(findings));
+  return findings.empty();
+}
+
 HttpResponse NodeApi::Ready() const {
   const std::string reason = deps_.not_ready();
   return reason.empty() ? TextResponse(200, "ready\n")
--- a/main/daemon/api/node_api.h
+++ b/main/daemon/api/node_api.h
@@ -40,6 +40,8 @@
   void Register(HttpServer& server);
 
  private:
+  // Whether the call has a valid token and no parameters; answers it if not.
+  bool AcceptsPlain(const HttpRequest& request, const Responder& respond) const;
   HttpResponse Ready() const;
   HttpResponse Metrics() const;
   HttpResponse Nodes() const;
--- a/main/daemon/api/settings_api.cc
+++ b/main/daemon/api/settings_api.cc
@@ -75,6 +75,8 @@
   // The name of the access token stands in for a missing author.
   change.author = reader.OptionalString("author");
   change.reason = reader.RequireString("reason", 1'024);
+  if (reader.Has("reason") && change.reason.empty())
+    reader.AddFinding("reason", "must not be empty", "say why");
   change.dry_run = reader.OptionalBool("dry_run", false);
   if (!reader.Has("value"))
     reader.AddFinding("value", "is missing", "send null to remove the setting");
