--- a/main/ctl/api_client.cc
+++ b/main/ctl/api_client.cc
@@ -50,7 +50,11 @@
       reply.findings.Add({"", 0, TextAt(it, "place")}, TextAt(it, "message"),
                          TextAt(it, "remedy"));
   }
-  reply.exit = ExitOfStatus(status, !reply.findings.empty());
+  // A node that did not answer in time sends this code with 503: the call may
+  // still take effect.
+  reply.exit = reply.code == "deadline_exceeded"
+                   ? Exit::kUnknown
+                   : ExitOfStatus(status, !reply.findings.empty());
 }
 
 ApiReply ReadReply(const Server& server, const HttpReply& http) {
--- a/tests/main/command_line_test.cc
+++ b/tests/main/command_line_test.cc
@@ -314,6 +314,28 @@
   }
 }
 
+// Answers every change as a node does that could not answer in time.
+class LateTransport : public Transport {
+ public:
+  HttpReply Send(const Server&, const HttpCall& call) override {
+    if (call.method == "GET")
+      return {.delivery = Delivery::kAnswered,
+              .status = 200,
+              .body = R"({"version":1,"value":1})"};
+    return {.delivery = Delivery::kAnswered,
+            .status = 503,
+            .body = R"({"error":{"code":"deadline_exceeded","message":"late",)"
+                    R"("findings":[]}})"};
+  }
+};
+
+// Guards against a change that is called refused although it may be accepted.
+TEST_CASE("A change that was not answered in time ends with 6") {
+  Shell shell([](const auto&) { return std::make_unique<LateTransport>(); });
+  CHECK(shell.Run({"settings", "set", "teams/plaza/weight", "4", "--reason=r"})
+            .exit == Exit::kUnknown);
+}
+
 // Guards against a page that tells other settings than the schema checks.
 TEST_CASE("docs/SETTINGS.md is the page that the schema gives") {
   std::ifstream file(QUETZALSHELF_SETTINGS_PAGE);
