--- a/main/daemon/api/request_api.cc
+++ b/main/daemon/api/request_api.cc
@@ -43,6 +43,16 @@
   return reply;
 }
 
+// The router refuses a request that does not name an existing workspace.
+HttpResponse RefusedResponse(const absl::Status& status) {
+  if (status.code() != absl::StatusCode::kNotFound)
+    return ErrorResponse(status);
+  Findings findings;
+  findings.Add({"", 0, "workspace"}, std::string(status.message()),
+               "create it, or name an existing one");
+  return ErrorResponse(findings);
+}
+
 }  // namespace
 
 void RequestApi::Register(HttpServer& server) {
@@ -59,6 +69,15 @@
                              const Responder& respond) {
   if (!RequireToken(deps_.access, request, respond))
     return;
+  Findings findings;
+  if (!request.body.empty()) {
+    if (const auto json = ParseJson(request.body, findings))
+      JsonReader(*json, "", findings).Finish();
+  }
+  if (!findings.empty()) {
+    respond(ErrorResponse(findings));
+    return;
+  }
   const TicketId ticket = deps_.router.IssueTicket(deps_.clock.Now());
   respond(JsonResponse({{"ticket", ticket.value()}}));
 }
@@ -89,7 +108,8 @@
   const TimePoint now = deps_.clock.Now();
   message.request.deadline = now + message.timeout;
   deps_.router.Submit(std::move(message.request), now, [respond](auto reply) {
-    respond(reply.ok() ? ReplyResponse(*reply) : ErrorResponse(reply.status()));
+    respond(reply.ok() ? ReplyResponse(*reply)
+                       : RefusedResponse(reply.status()));
   });
 }
 
@@ -99,7 +119,10 @@
   const TicketId ticket = message.request.ticket;
   const auto parts = routing::ParseTicket(ticket);
   if (!parts.ok()) {
-    respond(ErrorResponse(parts.status()));
+    Findings findings;
+    findings.Add({"", 0, "ticket"}, std::string(parts.status().message()),
+                 "get one from POST /v1/tickets");
+    respond(ErrorResponse(findings));
     return;
   }
   const KnownNode* issuer = deps_.nodes.Find(parts->node);
--- a/main/daemon/node_directory.h
+++ b/main/daemon/node_directory.h
@@ -3,7 +3,9 @@
 #ifndef MAIN_DAEMON_NODE_DIRECTORY_H_
 #define MAIN_DAEMON_NODE_DIRECTORY_H_
 
+#include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "core/ids.h"
@@ -18,6 +20,9 @@
   DomainId domain;
   bool leaving = false;
   bool is_self = false;
+  // Nullopt for a peer that was not heard lately.
+  std::optional<SettingsVersion> settings;
+  std::optional<bool> store_reachable;
 };
 
 // Live nodes only, this one included. Single-threaded.
