Fix how asio memory is freed across files

Asio picked std::aligned_alloc only in files that included a standard header before it; memory from operator new in one file was given to free in another (AddressSanitizer: alloc-dealloc-mismatch, 2 of 51 tests). The macro is now set for all files; asan passes 51 of 51.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -9,9 +9,11 @@
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
 
+# Asio detects std::aligned_alloc only when a standard header came before its
+# own, so that files would disagree on how its memory is freed.
 add_library(quetzalshelf_asio INTERFACE)
 target_compile_definitions(quetzalshelf_asio INTERFACE
-  ASIO_STANDALONE ASIO_NO_DEPRECATED)
+  ASIO_STANDALONE ASIO_NO_DEPRECATED ASIO_HAS_STD_ALIGNED_ALLOC=1)
 target_link_libraries(quetzalshelf_asio INTERFACE Threads::Threads)
 
 # The flags of cpp-httplib decide the layout of its classes; they come from
