--- a/drivers/platform/platform_faults.h
+++ b/drivers/platform/platform_faults.h
@@ -11,11 +11,19 @@
 // are refused as well.
 struct StoreFaults {
   bool down = false;
-  Duration slow{0};         // Delay before each call takes effect.
-  int lose_answers = 0;     // The next commits or puts take effect, but
-                            // kDeadlineExceeded is answered.
-  int late_commits = 0;     // The next commits answer kDeadlineExceeded at
-  Duration late_by{1'000};  // once and are carried out this much later.
+  // Delay before each call takes effect.
+  Duration slow{0};
+  // The next commits or puts take effect, but answer kDeadlineExceeded.
+  int lose_answers = 0;
+  // The next commits or puts answer kDeadlineExceeded at once and are carried
+  // out `late_by` later.
+  int late_commits = 0;
+  Duration late_by{1'000};
+};                        // Delay before each call takes effect.
+int lose_answers = 0;     // The next commits or puts take effect, but
+                          // kDeadlineExceeded is answered.
+int late_commits = 0;     // The next commits answer kDeadlineExceeded at
+Duration late_by{1'000};  // once and are carried out this much later.
 };
 
 }  // namespace quetzalshelf
