--- a/drivers/platform/platform_faults.h
+++ b/drivers/platform/platform_faults.h
@@ -19,11 +19,6 @@
   // out `late_by` later.
   int late_commits = 0;
   Duration late_by{1'000};
-};                        // Delay before each call takes effect.
-int lose_answers = 0;     // The next commits or puts take effect, but
-                          // kDeadlineExceeded is answered.
-int late_commits = 0;     // The next commits answer kDeadlineExceeded at
-Duration late_by{1'000};  // once and are carried out this much later.
 };
 
 }  // namespace quetzalshelf
