--- a/tests/jobs/job_faults_test.cc
+++ b/tests/jobs/job_faults_test.cc
@@ -83,14 +83,11 @@
 TEST_CASE("owner paused past its lease and woken beside the next owner") {
   SweepFault(
       [](JobWorld& world) {
-        world.owner->paused = true;
+        world.owner->Pause();
         world.Run(Duration(12'000));
         world.TakeOver();
         world.Run(Duration(500));
-        // A paused process finds its lease expired when it wakes.
-        world.previous->ownership.may_act = false;
-        world.previous->ownership.may_renew = false;
-        world.previous->paused = false;
+        world.previous->WakeWithoutLease();
       },
       1);
 }
@@ -178,6 +175,66 @@
   }
 }
 
+TEST_CASE("domain taken out while its row cannot be polled: nothing starts") {
+  for (uint64_t seed : {1, 2}) {
+    JobWorld world(seed);
+    world.table.drop_domain_reads = true;
+    world.SetDomain("d0", false);
+    world.SetDomain("d1", false);
+    world.Run(Duration(5'000));
+    CHECK(world.Submit(world.Spec("a", 2, Duration(600'000))) ==
+          SubmitOutcome::kAccepted);
+    world.Run(Duration(20'000));
+    CHECK(world.seen.empty());
+    world.table.drop_domain_reads = false;
+    world.SetDomain("d1", true);
+    world.Run(Duration(90'000));
+    CHECK(world.State("a") == JobState::kRunning);
+    CheckPromises(world);
+  }
+}
+
+TEST_CASE("Run delayed past an exit while Stop is lost: the deadline decides") {
+  JobWorld world(2);
+  bool exited = false;
+  world.workers.SetFaultHook([&](const WorkerMessage& message) {
+    WorkerDelivery delivery;
+    if (message.kind == WorkerMessageKind::kRun) {
+      delivery.request_delay = Duration(6'000);
+      exited = true;
+    }
+    delivery.lose_request = message.kind == WorkerMessageKind::kAct;
+    return delivery;
+  });
+  world.Submit(world.Spec("a", 4, Duration(600'000)));
+  world.RunUntil([&] { return exited; }, Duration(5'000));
+  REQUIRE(exited);
+  world.SetDomain("d0", false);
+  world.SetDomain("d1", false);
+  world.Run(Duration(10'000));
+  CHECK(world.seen.empty());
+  CheckPromises(world);
+}
+
+TEST_CASE("late write of a dead owner does not pass the next owner's fence") {
+  JobWorld world(1);
+  world.table.faults().late_commits = 1;
+  world.table.faults().late_by = Duration(14'000);
+  world.owner->service.Submit(
+      world.Spec("a", 1, Duration(1'000)), [](const SubmitReply&) {},
+      world.runner.Now());
+  world.owner->service.Tick(world.runner.Now());
+  world.runner.RunReady();
+  CHECK(world.table.faults().late_commits == 0);
+  world.KillAndReplaceOwner();
+  world.Run(Duration(10'000));
+  CHECK_FALSE(world.StoredRecord("a").has_value());
+  CHECK(world.Submit(world.Spec("a", 1, Duration(1'000))) ==
+        SubmitOutcome::kAccepted);
+  world.Run(Duration(10'000));
+  CHECK(world.State("a") == JobState::kFinished);
+}
+
 TEST_CASE("store down: submissions are not run and leave nothing behind") {
   JobWorld world(1);
   world.Submit(world.Spec("a", 2, Duration(60'000)));
@@ -308,12 +365,10 @@
       world.KillAndReplaceOwner();
       break;
     case 5:
-      world.owner->paused = true;
+      world.owner->Pause();
       world.Run(Duration(12'000));
       world.TakeOver();
-      world.previous->ownership.may_act = false;
-      world.previous->ownership.may_renew = false;
-      world.previous->paused = false;
+      world.previous->WakeWithoutLease();
       break;
     case 6:
       world.table.faults().lose_answers += 1 + argument % 3;
--- a/tests/jobs/job_world.cc
+++ b/tests/jobs/job_world.cc
@@ -38,7 +38,7 @@
           absl::StrCat("owner", epoch.value()))),
       service({gate, world.objects, *port, committer, world.runner, ownership},
               MakeScheduler(world.seed),
-              {},
+              world.options,
               world.runner.Now()) {
   world.ports_.push_back(port);
 }
--- a/tests/jobs/job_world.h
+++ b/tests/jobs/job_world.h
@@ -44,6 +44,24 @@
   const RowVersion version_;
 };
 
+// A table whose domain rows can become unreadable.
+class BlindTable : public MemoryTable {
+ public:
+  using MemoryTable::MemoryTable;
+
+  void ReadPrefix(const std::string& prefix,
+                  const std::string& after,
+                  int limit,
+                  ScanCallback done) override {
+    const bool drop = drop_domain_reads && prefix == "domain/";
+    // A read without an answer ends at the time limit of the gate.
+    if (!drop)
+      MemoryTable::ReadPrefix(prefix, after, limit, std::move(done));
+  }
+
+  bool drop_domain_reads = false;
+};
+
 class JobWorld;
 
 // One process that owns the shard.
@@ -56,6 +74,18 @@
   std::shared_ptr<RecordingPort> port;
   JobService service;
   bool paused = false;
+
+  void Pause() {
+    paused = true;
+    port->Pause();
+  }
+  // A paused process finds its lease expired when it wakes.
+  void WakeWithoutLease() {
+    ownership.may_act = false;
+    ownership.may_renew = false;
+    paused = false;
+    port->Wake();
+  }
 };
 
 // What was seen of one attempt.
@@ -99,7 +129,7 @@
   int Running(const std::string& id);
 
   ManualTaskRunner runner;
-  MemoryTable table;
+  BlindTable table;
   MemoryObjectStore objects;
   InProcessWorkers workers;
   EpochOracle epochs;
@@ -113,6 +143,7 @@
   std::map<std::string, std::string> watched;
   int republished = 0;  // Visible results that changed or vanished.
   uint64_t seed;
+  JobServiceOptions options;  // Of owners to come.
 
  private:
   void Tick(Owner& it);
--- a/tests/jobs/recording_port.h
+++ b/tests/jobs/recording_port.h
@@ -4,9 +4,11 @@
 #define TESTS_JOBS_RECORDING_PORT_H_
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/platform/worker_port.h"
 
@@ -58,6 +60,14 @@
     port_.Act(worker, request, Record(worker, request.epoch, std::move(done)));
   }
 
+  // Answers that come in while the owner is paused wait for it.
+  void Pause() { paused_ = true; }
+  void Wake() {
+    paused_ = false;
+    for (const auto& answer : std::exchange(held_, {}))
+      answer();
+  }
+
  private:
   template <typename Done>
   Done Record(const WorkerAddress& worker, Epoch epoch, Done done) {
@@ -68,13 +78,18 @@
         [this, id, epoch, highest, done = std::move(done)](const auto& answer) {
           if (answer.ok())
             oracle_.Accept(id, epoch, highest);
-          done(answer);
+          if (paused_)
+            held_.push_back([done, answer] { done(answer); });
+          else
+            done(answer);
         };
   }
 
   WorkerPort& port_;
   EpochOracle& oracle_;
   const std::string owner_;
+  bool paused_ = false;
+  std::vector<std::function<void()>> held_;
 };
 
 }  // namespace quetzalshelf::jobs
