Let one book decide entitlement and place of guaranteed gangs

Charges to homes and to the account by shapes could differ, so that a covered gang found no slot. Homes are now bound to the slots of the account itself.

--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -127,7 +127,8 @@
     ReleaseOn(job, job.slots.back().worker);
   // The share counts the whole gang until its last task is gone.
   used_by_[job.job.workspace] -= job.accelerators();
-  LeaveAccount(job);
+  book_.Charge(job.uses, job.job.gang.per_task, -1);
+  job.uses.clear();
   job.charged = false;
   job.pinned = false;
   job.releasing = false;
@@ -142,11 +143,6 @@
   const Slots one = {*it};
   job.slots.erase(it);
   std::erase(workers_[worker].gangs, &job);
-  const auto gone = std::stable_partition(
-      job.uses.begin(), job.uses.end(),
-      [worker](const HomeUse& use) { return use.worker != worker; });
-  book_.Charge({gone, job.uses.end()}, job.job.gang.per_task, -1);
-  job.uses.erase(gone, job.uses.end());
   if (job.pinned)
     Add(&WorkerEntry::pinned, job, one, -1);
   if (job.releasing)
@@ -160,54 +156,12 @@
   book_.Charge(job.uses, job.job.gang.per_task, 1);
 }
 
-void ClusterLedger::SetAccounts(const std::vector<Workspace>& workspaces) {
-  std::vector<GuaranteePlanner::Home> shapes;
-  for (const Workspace& workspace : workspaces) {
-    for (const Guarantee& it : workspace.guarantees) {
-      for (int copy = 0; copy < it.count; ++copy)
-        shapes.push_back({workspace.id, 0, it.shape, {{0, it.shape.tasks}}});
-    }
+void ClusterLedger::BindBook() {
+  book_.Bind(planner_.homes());
+  for (WorkerEntry& worker : workers_) {
+    for (JobRecord* job : worker.gangs)
+      job->charged = !job->releasing && book_.IsInPlace(job->uses);
   }
-  accounts_.Rebuild(shapes);
-}
-
-std::optional<HomeUses> ClusterLedger::FindInAccount(
-    const JobRecord& job) const {
-  HomeBook::View view;
-  view.uncharged = [this](size_t home, size_t slot) {
-    return accounts_.slot(home, slot).uncharged;
-  };
-  view.free = [&job](WorkerIndex /*worker*/) {
-    return job.job.gang.per_task * job.job.gang.tasks;
-  };
-  auto found = accounts_.Find(job.job.workspace, job.job.gang, view);
-  if (!found)
-    return std::nullopt;
-  return std::move(found->uses);
-}
-
-bool ClusterLedger::IsEntitled(const JobRecord& job) const {
-  return FindInAccount(job).has_value();
-}
-
-void ClusterLedger::EnterAccount(JobRecord& job) {
-  if (!job.account_uses.empty())
-    return;
-  if (auto uses = FindInAccount(job)) {
-    job.account_uses = std::move(*uses);
-    accounts_.Charge(job.account_uses, job.job.gang.per_task, 1);
-  }
-}
-
-void ClusterLedger::LeaveAccount(JobRecord& job) {
-  accounts_.Charge(job.account_uses, job.job.gang.per_task, -1);
-  job.account_uses.clear();
-}
-
-void ClusterLedger::Uncharge(JobRecord& job) {
-  book_.Charge(job.uses, job.job.gang.per_task, -1);
-  job.charged = false;
-  job.uses.clear();
 }
 
 void ClusterLedger::SetPinned(JobRecord& job, bool pinned) {
@@ -220,7 +174,7 @@
 void ClusterLedger::SetReleasing(JobRecord& job) {
   if (job.releasing)
     return;
-  Uncharge(job);
+  job.charged = false;
   SetPinned(job, false);
   job.releasing = true;
   Add(&WorkerEntry::releasing, job, job.slots, 1);
@@ -228,8 +182,6 @@
 
 void ClusterLedger::AddHold(JobRecord& job, Hold hold) {
   job.hold = std::move(hold);
-  if (job.hold->kind == HoldKind::kGuarantee)
-    EnterAccount(job);
   Add(&WorkerEntry::held, job, job.hold->slots, 1);
   if (job.hold->kind != HoldKind::kReservation)
     Add(&WorkerEntry::strong_held, job, job.hold->slots, 1);
@@ -243,7 +195,6 @@
   if (job.hold->kind != HoldKind::kReservation)
     Add(&WorkerEntry::strong_held, job, job.hold->slots, -1);
   book_.Charge(job.hold->uses, job.job.gang.per_task, -1);
-  LeaveAccount(job);
   job.hold.reset();
 }
 
--- a/servers/scheduling/cluster_ledger.h
+++ b/servers/scheduling/cluster_ledger.h
@@ -63,16 +63,14 @@
   const std::vector<DomainEntry>& domains() const { return domains_; }
   GuaranteePlanner& planner() { return planner_; }
   const GuaranteePlanner& planner() const { return planner_; }
+  // The shapes of the guarantees and what is charged to them. A gang stays in
+  // the book until it has stopped, also when its home is lost or moved before,
+  // so that no guarantee is promised twice.
   const HomeBook& book() const { return book_; }
-  // The account of each workspace: what its guarantees cover by shape alone.
-  // Only entitled gangs may start as guaranteed. A gang stays in the account
-  // until it has stopped, also when its home is lost or moved before.
-  void SetAccounts(const std::vector<Workspace>& workspaces);
-  bool IsEntitled(const JobRecord& job) const;
-  void EnterAccount(JobRecord& job);
-  void LeaveAccount(JobRecord& job);
-  // Takes over the homes of the planner; nothing may be charged.
+  // Starts a new book; whatever was charged has to be charged again.
   void RebuildBook() { book_.Rebuild(planner_.homes()); }
+  // Takes over the planned places and finds out which gangs are in them.
+  void BindBook();
   // Free capacity that is not held.
   const CapacityIndex& free() const { return free_; }
   // Capacity that is free or used by gangs that may be stopped for urgent
@@ -94,7 +92,6 @@
   void Release(JobRecord& job);
   void ReleaseOn(JobRecord& job, WorkerIndex worker);
   void Charge(JobRecord& job, HomeUses uses);
-  void Uncharge(JobRecord& job);
   void SetPinned(JobRecord& job, bool pinned);
   void SetReleasing(JobRecord& job);
   // Holds of kind kGuarantee charge the workspace's homes.
@@ -112,7 +109,6 @@
 
  private:
   using Amounts = Resources WorkerEntry::*;
-  std::optional<HomeUses> FindInAccount(const JobRecord& job) const;
   void Add(Amounts account, const JobRecord& job, const Slots& slots, int sign);
 
   const Charts& charts_;
@@ -127,7 +123,6 @@
   CapacityIndex total_;
   GuaranteePlanner planner_;
   HomeBook book_;
-  HomeBook accounts_;
   Accelerators total_accelerators_;
 };
 
--- a/servers/scheduling/guarantee_planner.cc
+++ b/servers/scheduling/guarantee_planner.cc
@@ -60,7 +60,8 @@
     for (size_t n = 0; n < workspace.guarantees.size(); ++n) {
       const Guarantee& it = workspace.guarantees[n];
       for (int copy = 0; copy < it.count; ++copy)
-        homes_.push_back({workspace.id, static_cast<int>(n), it.shape, {}});
+        homes_.push_back(
+            {workspace.id, static_cast<int>(n), it.shape, {}, homes_.size()});
     }
   }
   for (Home& home : homes_) {
@@ -161,6 +162,8 @@
     }
   }
   homes_ = std::move(best);
+  std::sort(homes_.begin(), homes_.end(),
+            [](const Home& a, const Home& b) { return a.number < b.number; });
 }
 
 std::vector<UnheldGuarantee> GuaranteePlanner::Unheld() const {
--- a/servers/scheduling/guarantee_planner.h
+++ b/servers/scheduling/guarantee_planner.h
@@ -22,7 +22,8 @@
     WorkspaceId workspace;
     int guarantee = 0;  // Index in Workspace::guarantees.
     Shape shape;
-    Slots slots;  // Empty when the shape is not held.
+    Slots slots;        // Empty when the shape is not held.
+    size_t number = 0;  // Position in the order of declaration.
   };
 
   // Workers are declared once, in the order of their indexes.
--- a/servers/scheduling/home_book.cc
+++ b/servers/scheduling/home_book.cc
@@ -60,14 +60,15 @@
     const bool whole = home.adjacency > gang.adjacency;
     std::vector<size_t> later;
     for (size_t n = 0; n < home.slots.size() && missing > 0; ++n) {
-      if (FreeTasks(home.slots[n].worker) > 0)
-        Take(id, n, home.slots[n].worker, whole);
-      else
+      const auto& worker = home.slots[n].worker;
+      if (worker && FreeTasks(*worker) > 0)
+        Take(id, n, *worker, whole);
+      else if (worker)
         later.push_back(n);
     }
     for (const size_t n : later) {
       if (missing > 0)
-        Take(id, n, home.slots[n].worker, whole);
+        Take(id, n, *home.slots[n].worker, whole);
     }
   }
 };
@@ -76,18 +77,33 @@
   homes_.clear();
   by_workspace_.clear();
   for (const GuaranteePlanner::Home& it : homes) {
-    if (it.slots.empty())
-      continue;
-    Home home{it.shape.adjacency, {}};
-    for (const scheduling::Slot& slot : it.slots) {
-      home.slots.insert(home.slots.end(), static_cast<size_t>(slot.tasks),
-                        {slot.worker, it.shape.per_task});
-    }
     by_workspace_[it.workspace].push_back(homes_.size());
-    homes_.push_back(std::move(home));
+    homes_.push_back({it.shape.adjacency,
+                      std::vector<Slot>(static_cast<size_t>(it.shape.tasks),
+                                        {std::nullopt, it.shape.per_task})});
+  }
+}
+
+void HomeBook::Bind(const std::vector<GuaranteePlanner::Home>& homes) {
+  for (size_t n = 0; n < homes.size() && n < homes_.size(); ++n) {
+    std::vector<Slot>& slots = homes_[n].slots;
+    for (Slot& it : slots)
+      it.worker.reset();
+    size_t next = 0;
+    for (const scheduling::Slot& it : homes[n].slots) {
+      for (int task = 0; task < it.tasks && next < slots.size(); ++task)
+        slots[next++].worker = it.worker;
+    }
   }
 }
 
+bool HomeBook::IsInPlace(const HomeUses& uses) const {
+  return !uses.empty() &&
+         std::all_of(uses.begin(), uses.end(), [this](const HomeUse& it) {
+           return homes_[it.home].slots[it.slot].worker == it.worker;
+         });
+}
+
 std::optional<HomeBook::Placement> HomeBook::Find(const WorkspaceId& workspace,
                                                   const Shape& gang,
                                                   const View& view) const {
--- a/servers/scheduling/home_book.h
+++ b/servers/scheduling/home_book.h
@@ -30,7 +30,7 @@
 class HomeBook {
  public:
   struct Slot {
-    WorkerIndex worker = 0;
+    std::optional<WorkerIndex> worker;  // Empty when the shape is not held.
     Resources uncharged;
   };
   struct Home {
@@ -49,8 +49,13 @@
     int tasks_not_free = 0;  // Tasks that wait for a borrower to stop.
   };
 
-  // Starts again with nothing charged.
+  // Starts again with one home for each shape, nothing charged or bound.
   void Rebuild(const std::vector<GuaranteePlanner::Home>& homes);
+  // Puts the slots on the workers of the same homes, as planned. Charges stay,
+  // so that a home that moves is not promised twice.
+  void Bind(const std::vector<GuaranteePlanner::Home>& homes);
+  // Whether each use still lies on the worker of its slot.
+  bool IsInPlace(const HomeUses& uses) const;
 
   // Places a gang in one home of its workspace, the one with the least left
   // that holds it; a gang without adjacency may use several. A home that is
--- a/servers/scheduling/job_record.h
+++ b/servers/scheduling/job_record.h
@@ -52,9 +52,8 @@
   TimePoint protected_until;  // No reservation may stop it before.
   Duration progress_at_start{0};
   bool guaranteed = false;  // As the start command said.
-  bool charged = false;     // To homes of its workspace, now.
-  HomeUses uses;            // While charged.
-  HomeUses account_uses;    // In the account of its workspace.
+  HomeUses uses;            // Of homes, until it has stopped.
+  bool charged = false;     // It is in its homes and is not being stopped.
   bool pinned = false;      // Not to be stopped for urgent gangs and
                             // reservations.
   bool releasing = false;   // Its stop is decided.
--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -62,26 +62,36 @@
   for (const Workspace& it : workspaces)
     workspaces_[it.id] = it;
   ledger_.planner().SetWorkspaces(workspaces);
-  ResetAccounts(workspaces);
+  RebuildBook();
   Replan(now);
   return Flush();
 }
 
-void ShapeScheduler::ResetAccounts(const std::vector<Workspace>& workspaces) {
+// Charges the running gangs to the new guarantees, oldest first.
+void ShapeScheduler::RebuildBook() {
   std::vector<JobRecord*> entered;
+  for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
+    if (job->hold->kind == HoldKind::kGuarantee)
+      DropHold(*job);
+  }
   for (const auto& [id, job] : jobs_) {
-    if (job->account_uses.empty())
+    if (job->uses.empty())
       continue;
-    job->account_uses.clear();
+    job->uses.clear();
+    job->charged = false;
     entered.push_back(job.get());
   }
   std::sort(entered.begin(), entered.end(),
             [](const JobRecord* a, const JobRecord* b) {
               return a->key.sequence < b->key.sequence;
             });
-  ledger_.SetAccounts(workspaces);
-  for (JobRecord* job : entered)
-    ledger_.EnterAccount(*job);
+  ledger_.RebuildBook();
+  ledger_.planner().Plan();
+  ledger_.BindBook();
+  for (JobRecord* job : entered) {
+    if (auto uses = ledger_.FindCharge(*job, job->slots))
+      ledger_.Charge(*job, std::move(*uses));
+  }
 }
 
 std::optional<RefuseJob> ShapeScheduler::CheckSubmission(const Job& job) const {
@@ -238,12 +248,9 @@
   record.last_checkpoint = now;
   ledger_.Allocate(record);
   record.guaranteed = running.guaranteed;
-  recharge_.insert(&record);
   if (running.guaranteed) {
-    ledger_.EnterAccount(record);
-    Recharge(now);
-  } else {
-    recharge_.erase(&record);
+    if (auto uses = ledger_.FindCharge(record, record.slots))
+      ledger_.Charge(record, std::move(*uses));
   }
   UpdatePin(record, now);
   ScheduleCheckpoint(record, now);
@@ -363,8 +370,6 @@
     job.probes.reset();
   }
   ledger_.Release(job);
-  recharge_.erase(&job);
-  homes_freed_ = true;
   freed_ = true;
   Fire(job, GangEvent::kEnded);
   Fire(job, event);
@@ -445,8 +450,6 @@
   UpdateDomains(now);
   EndProtection(now);
   Replan(now);
-  if (homes_freed_)
-    Recharge(now);
   AdvanceHolds(now);
   RunProbes(now);
   RunPass(now);
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -96,7 +96,7 @@
   // Jobs (shape_scheduler.cc).
   JobRecord* FindJob(const JobId& id) const;
   JobRecord* FindAttempt(const JobId& id, Attempt attempt) const;
-  void ResetAccounts(const std::vector<Workspace>& workspaces);
+  void RebuildBook();
   std::optional<RefuseJob> CheckSubmission(const Job& job) const;
   std::optional<RefuseJob> CheckPlaceable(const Job& job) const;
   JobRecord& AddRecord(const Job& job, TimePoint now);
@@ -125,7 +125,6 @@
   bool TryProbe(WorkerIndex worker, TimePoint now);
   void UpdateDomains(TimePoint now);
   void Replan(TimePoint now);
-  void Recharge(TimePoint now);
 
   // Placement (shape_scheduler_pass.cc).
   void RunPass(TimePoint now);
@@ -203,8 +202,6 @@
   Timers checkpoint_timers_;
   Timers protection_timers_;
   std::vector<FailedShape> failed_shapes_;
-  std::set<JobRecord*> recharge_;  // Guaranteed gangs without a charge.
-  bool homes_freed_ = false;
   Commands out_;
   uint64_t next_sequence_ = 1;
   bool freed_ = false;  // Capacity became free since the last pass.
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -104,8 +104,10 @@
   if (fillers != Fillers::kNone) {
     for (const size_t home : book.HomesOf(job.job.workspace)) {
       for (size_t n = 0; n < book.SlotCount(home); ++n) {
-        for (const JobRecord* it :
-             ledger_.worker(book.slot(home, n).worker).gangs) {
+        const auto worker = book.slot(home, n).worker;
+        if (!worker)
+          continue;
+        for (const JobRecord* it : ledger_.worker(*worker).gangs) {
           if (IsFiller(*it, job, fillers))
             movable[{home, n}] += TakenBy(*it, home, n);
         }
@@ -115,10 +117,12 @@
   HomeBook::View view;
   view.uncharged = [&](size_t home, size_t slot) {
     const HomeBook::Slot& it = book.slot(home, slot);
+    if (!it.worker || !ledger_.IsUsable(*it.worker) ||
+        Contains(excluded, *it.worker))
+      return Resources();
     const ClusterLedger::DomainEntry& domain =
-        ledger_.domain(ledger_.worker(it.worker).domain);
-    if (!ledger_.IsUsable(it.worker) || Contains(excluded, it.worker) ||
-        (domain.state == DomainState::kReturning && domain.starts_left <= 0))
+        ledger_.domain(ledger_.worker(*it.worker).domain);
+    if (domain.state == DomainState::kReturning && domain.starts_left <= 0)
       return Resources();
     const auto more = movable.find({home, slot});
     return more == movable.end() ? it.uncharged : it.uncharged + more->second;
@@ -199,10 +203,6 @@
 bool ShapeScheduler::TryGuaranteed(JobRecord& job, TimePoint now) {
   if (HasFailed(job, Search::kSlices))
     return false;
-  if (!ledger_.IsEntitled(job)) {
-    RememberFailure(job, Search::kSlices);
-    return false;
-  }
   const auto found = FindHomes(job, Fillers::kNone);
   if (!found) {
     if (TryDisplace(job, now))
@@ -267,7 +267,6 @@
   ledger_.Allocate(job);
   job.guaranteed = !uses.empty();
   if (job.guaranteed) {
-    ledger_.EnterAccount(job);
     ledger_.Charge(job, std::move(uses));
   }
   UpdatePin(job, now);
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -188,57 +188,18 @@
   if (!ledger_.planner().dirty())
     return;
   ledger_.planner().Plan();
-  // Charges are made anew, oldest first. Gangs that find none become borrowers
-  // and holds without one are dropped.
-  std::set<JobRecord*> charged;
+  ledger_.BindBook();
+  // Gangs whose home has moved may be stopped like borrowers; they are in the
+  // book until then. Holds in homes that have moved are dropped.
   for (const ClusterLedger::WorkerEntry& worker : ledger_.workers()) {
-    for (JobRecord* job : worker.gangs) {
-      if (job->charged)
-        charged.insert(job);
-    }
+    const std::vector<JobRecord*> gangs = worker.gangs;
+    for (JobRecord* job : gangs)
+      UpdatePin(*job, now);
   }
-  std::vector<std::pair<JobRecord*, Hold>> holds;
   for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
-    if (job->hold->kind != HoldKind::kGuarantee)
-      continue;
-    holds.emplace_back(job, *job->hold);
-    DropHold(*job);
-  }
-  for (JobRecord* job : charged)
-    ledger_.Uncharge(*job);
-  ledger_.RebuildBook();
-  recharge_.insert(charged.begin(), charged.end());
-  Recharge(now);
-  for (auto& [job, hold] : holds) {
-    auto uses = ledger_.FindCharge(*job, hold.slots);
-    if (!uses)
-      continue;
-    hold.uses = std::move(*uses);
-    ledger_.AddHold(*job, std::move(hold));
-    holding_.push_back(job);
-  }
-}
-
-// Charges gangs that started as guaranteed and lost their homes. Borrowers are
-// never charged later, because the start command told the caller what counts
-// against the guarantee.
-void ShapeScheduler::Recharge(TimePoint now) {
-  homes_freed_ = false;
-  std::vector<JobRecord*> order(recharge_.begin(), recharge_.end());
-  std::sort(order.begin(), order.end(),
-            [](const JobRecord* a, const JobRecord* b) {
-              return a->key.sequence < b->key.sequence;
-            });
-  for (JobRecord* job : order) {
-    if (job->releasing) {
-      recharge_.erase(job);
-      continue;
-    }
-    if (auto uses = ledger_.FindCharge(*job, job->slots)) {
-      ledger_.Charge(*job, std::move(*uses));
-      recharge_.erase(job);
-    }
-    UpdatePin(*job, now);
+    if (job->hold->kind == HoldKind::kGuarantee &&
+        !ledger_.book().IsInPlace(job->hold->uses))
+      DropHold(*job);
   }
 }
 
