Fill home slots in order and move gangs with smaller tasks for larger ones

Gangs of one task that were spread over slots kept two accelerators apart, so that a covered gang with a task of two had no slot.

--- a/servers/scheduling/home_book.cc
+++ b/servers/scheduling/home_book.cc
@@ -55,19 +55,11 @@
     missing -= n;
   }
 
-  // Slots whose worker has room come first.
+  // Slots are filled in order, so that what is left is in few of them.
   void TakeFrom(size_t id, const Home& home) {
     const bool whole = home.adjacency > gang.adjacency;
-    std::vector<size_t> later;
     for (size_t n = 0; n < home.slots.size() && missing > 0; ++n) {
-      const auto& worker = home.slots[n].worker;
-      if (worker && FreeTasks(*worker) > 0)
-        Take(id, n, *worker, whole);
-      else if (worker)
-        later.push_back(n);
-    }
-    for (const size_t n : later) {
-      if (missing > 0)
+      if (home.slots[n].worker)
         Take(id, n, *home.slots[n].worker, whole);
     }
   }
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -137,16 +137,21 @@
   return book.Find(job.job.workspace, job.job.gang, view);
 }
 
-// A smaller gang of the same workspace in its home slices. It may be moved for
-// a gang that the guarantee covers, because otherwise small gangs that ended in
-// another order than they came would keep a whole shape from its owner. Only
-// smaller gangs give way, so two gangs never displace each other in turn.
+// A gang of the same workspace that is easier to place, by the size of its
+// tasks and then of the whole gang. It may be moved within the homes for a gang
+// that the guarantee covers, because otherwise gangs that ended in another
+// order than they came would keep a shape from its owner. The order is strict,
+// so two gangs never displace each other in turn.
 bool ShapeScheduler::IsFiller(const JobRecord& filler,
                               const JobRecord& job,
                               Fillers fillers) {
   if (fillers == Fillers::kNone || !filler.charged || filler.releasing ||
-      filler.job.workspace != job.job.workspace ||
-      filler.accelerators() >= job.accelerators())
+      filler.job.workspace != job.job.workspace)
+    return false;
+  const auto size = [](const JobRecord& it) {
+    return std::pair(it.job.gang.per_task.accelerators, it.accelerators());
+  };
+  if (size(filler) >= size(job))
     return false;
   return fillers == Fillers::kAll || filler.job.urgency != Urgency::kUrgent;
 }
