Serve guarantees by amount when the homes are fragmented; add a gradient

A covered gang whose shape no home had room for waited for the homes to clear. It may now take the place of borrowers anywhere, up to the amount that is left. Placement by fragmentation gradient is added as an alternative for comparison.

--- a/servers/scheduling/capacity_index.cc
+++ b/servers/scheduling/capacity_index.cc
@@ -125,29 +125,28 @@
 }
 
 std::optional<Slots> CapacityIndex::FindOnWorker(const Request& request) const {
-  const int64_t need = request.accelerators();
+  const int tasks = request.shape.tasks;
   std::optional<Slots> best;
   int64_t best_penalty = std::numeric_limits<int64_t>::max();
-  for (size_t level = static_cast<size_t>(std::min(need, kMaxLevel));
+  for (size_t level =
+           static_cast<size_t>(std::min(request.accelerators(), kMaxLevel));
        level <= static_cast<size_t>(kMaxLevel); ++level) {
     for (const Domain& domain : domains_) {
+      size_t seen = 0;
       for (const WorkerIndex it : domain.buckets[level]) {
-        if (request.TasksOn(it, request.shape.tasks) < request.shape.tasks)
+        if (request.TasksOn(it, tasks) < tasks)
           continue;
-        const int64_t penalty =
-            request.preference == nullptr
-                ? 0
-                : request.preference->Penalty(it, request.shape.tasks);
+        if (request.preference == nullptr)
+          return Slots{{it, tasks}};
+        if (++seen > kMaxPreferred)
+          break;
+        const int64_t penalty = request.preference->Penalty(it, tasks);
         if (penalty >= best_penalty)
           continue;
-        best = Slots{{it, request.shape.tasks}};
+        best = Slots{{it, tasks}};
         best_penalty = penalty;
-        if (request.preference == nullptr)
-          return best;
       }
     }
-    if (best)
-      return best;
   }
   return best;
 }
--- a/servers/scheduling/capacity_index.h
+++ b/servers/scheduling/capacity_index.h
@@ -60,6 +60,8 @@
 
  private:
   static constexpr int64_t kMaxLevel = 64;  // More accelerators count as 64.
+  // Workers with the same number of free accelerators that a preference sees.
+  static constexpr size_t kMaxPreferred = 16;
 
   struct Entry {
     Resources available;
--- a/servers/scheduling/job_record.h
+++ b/servers/scheduling/job_record.h
@@ -54,6 +54,7 @@
   bool guaranteed = false;  // As the start command said.
   HomeUses uses;            // Of homes, until it has stopped.
   bool charged = false;     // It is in its homes and is not being stopped.
+  bool by_amount = false;   // See ShapeScheduler::IsEntitledByAmount().
   bool pinned = false;      // Not to be stopped for urgent gangs and
                             // reservations.
   bool releasing = false;   // Its stop is decided.
--- a/servers/scheduling/policy.h
+++ b/servers/scheduling/policy.h
@@ -10,7 +10,12 @@
 
 namespace quetzalshelf::scheduling {
 
+// How a worker is chosen for a gang that fits on one.
+enum class PlacementRule { kBlocks, kGradient };
+
 struct Policy {
+  PlacementRule placement = PlacementRule::kBlocks;
+
   // A gang that waits longer gets a reservation.
   Duration patience{120'000};
   // A reservation waits this long for gangs to end by themselves.
--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -210,6 +210,7 @@
   if (!Fire(*job, JobEvent::kCancel))
     return {};
   if (waits) {
+    SetByAmount(*job, false);
     Dequeue(*job);
     End(*job);
   } else {
@@ -370,6 +371,7 @@
     job.probes.reset();
   }
   ledger_.Release(job);
+  SetByAmount(job, false);
   freed_ = true;
   Fire(job, GangEvent::kEnded);
   Fire(job, event);
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -132,6 +132,8 @@
   bool TryGuaranteed(JobRecord& job, TimePoint now);
   bool TryFree(JobRecord& job, TimePoint now);
   bool TryUrgent(JobRecord& job, TimePoint now);
+  bool IsEntitledByAmount(const JobRecord& job) const;
+  void SetByAmount(JobRecord& job, bool by_amount);
   bool IsOverQuota(const JobRecord& job) const;
   std::optional<HomeBook::Placement> FindHomes(const JobRecord& job,
                                                Fillers fillers) const;
@@ -202,8 +204,11 @@
   Timers checkpoint_timers_;
   Timers protection_timers_;
   std::vector<FailedShape> failed_shapes_;
+  std::vector<Shape> waiting_shapes_;  // Of the first jobs in the last pass.
   Commands out_;
   uint64_t next_sequence_ = 1;
+  // Used by gangs that started elsewhere because their homes were fragmented.
+  std::map<WorkspaceId, Accelerators> by_amount_;
   bool freed_ = false;  // Capacity became free since the last pass.
 };
 
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -49,6 +49,7 @@
   if (!job.hold)
     return false;
   if (!IsHoldValid(job)) {
+    SetByAmount(job, false);
     DropHold(job);
     return false;
   }
@@ -64,6 +65,7 @@
   }
   if (now < job.hold->force || MakeRoom(job, now))
     return true;
+  SetByAmount(job, false);
   DropHold(job);
   return false;
 }
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "servers/scheduling/fragmentation_gradient.h"
+
 namespace quetzalshelf::scheduling {
 
 namespace {
@@ -12,6 +14,9 @@
 // Workers on which the job failed are avoided; more than these are not.
 constexpr size_t kMaxExcluded = 8;
 
+// Shapes that the fragmentation gradient looks at.
+constexpr size_t kMaxWaitingShapes = 32;
+
 bool Contains(const std::vector<WorkerIndex>& list, WorkerIndex worker) {
   return std::find(list.begin(), list.end(), worker) != list.end();
 }
@@ -38,7 +43,13 @@
   freed_ = false;
   failed_shapes_.clear();
   UpdateHandicaps();
-  for (JobRecord* job : queue_.First(policy_.scan_limit))
+  const std::vector<JobRecord*> first = queue_.First(policy_.scan_limit);
+  waiting_shapes_.clear();
+  for (const JobRecord* job : first) {
+    if (waiting_shapes_.size() < kMaxWaitingShapes)
+      waiting_shapes_.push_back(job->job.gang);
+  }
+  for (JobRecord* job : first)
     TryJob(*job, now);
 }
 
@@ -65,7 +76,33 @@
     return false;
   if (TryGuaranteed(job, now) || TryFree(job, now))
     return true;
-  return job.job.urgency == Urgency::kUrgent && TryUrgent(job, now);
+  if (job.job.urgency == Urgency::kUrgent)
+    return TryUrgent(job, now);
+  if (!IsEntitledByAmount(job) || !TryUrgent(job, now))
+    return false;
+  SetByAmount(job, true);
+  return true;
+}
+
+// Whether the guarantee has enough left for the gang though no home has room
+// for its shape. Such a gang may take the place of borrowers anywhere.
+bool ShapeScheduler::IsEntitledByAmount(const JobRecord& job) const {
+  const auto used = by_amount_.find(job.job.workspace);
+  const Accelerators taken =
+      used == by_amount_.end() ? Accelerators() : used->second;
+  return taken + job.accelerators() <=
+         ledger_.book().UnchargedOf(job.job.workspace);
+}
+
+void ShapeScheduler::SetByAmount(JobRecord& job, bool by_amount) {
+  if (job.by_amount == by_amount)
+    return;
+  job.by_amount = by_amount;
+  Accelerators& taken = by_amount_[job.job.workspace];
+  if (by_amount)
+    taken += job.accelerators();
+  else
+    taken -= job.accelerators();
 }
 
 bool ShapeScheduler::IsOverQuota(const JobRecord& job) const {
@@ -227,7 +264,11 @@
   auto excluded = probation_.FailedOn(job.job.id);
   if (excluded.size() > kMaxExcluded)
     excluded.resize(kMaxExcluded);
-  auto found = ledger_.free().Find(job.job.gang, excluded);
+  const FragmentationGradient gradient(ledger_.free(), job.job.gang,
+                                       waiting_shapes_);
+  const bool use_gradient = policy_.placement == PlacementRule::kGradient;
+  auto found = ledger_.free().Find(job.job.gang, excluded,
+                                   use_gradient ? &gradient : nullptr);
   if (!found && !excluded.empty())
     found = ledger_.free().Find(job.job.gang, {});
   return found;
