--- a/servers/scheduling/policy.h
+++ b/servers/scheduling/policy.h
@@ -17,11 +17,11 @@
   PlacementRule placement = PlacementRule::kBlocks;
 
   // A gang that waits longer gets a reservation.
-  Duration patience{120'000};
+  Duration patience{30'000};
   // A reservation waits this long for gangs to end by themselves.
-  Duration reservation_drain{20'000};
+  Duration reservation_drain{0};
   // No reservation stops a gang that was started by one for this long.
-  Duration reservation_quantum{600'000};
+  Duration reservation_quantum{1'200'000};
 
   // Time for a checkpoint before a stop. Ticks come about every second and
   // urgent work has to start within 2.6 s, so little is left for it there.
@@ -30,12 +30,12 @@
   Duration reservation_grace{20'000};
   Duration domain_grace{20'000};
 
-  Duration checkpoint_interval{120'000};
+  Duration checkpoint_interval{60'000};
   size_t checkpoints_per_tick = 256;
 
   // Rank of a waiting job, in milliseconds for each accelerator-second of
   // expected work.
-  double millis_per_work = 500;
+  double millis_per_work = 2'000;
   // Handicap of a workspace that uses its whole weighted share.
   Duration share_handicap{60'000};
 
