Give running gangs a turn before a reservation may stop them

Gangs of the same size swapped places every 30 s. A reservation now stops a gang after 120 s, or after 20 min when it is not smaller than the waiting one, and a reserved gang takes other free capacity.

--- a/servers/scheduling/policy.h
+++ b/servers/scheduling/policy.h
@@ -20,6 +20,10 @@
   Duration patience{30'000};
   // A reservation waits this long for gangs to end by themselves.
   Duration reservation_drain{0};
+  // No reservation stops a gang before it has run for this long, so that short
+  // gangs end by themselves.
+  Duration reservation_slice{120'000};
+  size_t max_reservations = 1;
   // No reservation stops a gang that was started by one for this long.
   Duration reservation_quantum{1'200'000};
 
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -164,6 +164,9 @@
   bool AdvanceHold(JobRecord& job, TimePoint now);
   bool IsHoldValid(const JobRecord& job) const;
   bool CanStartHold(const JobRecord& job) const;
+  bool HasHadTurn(const JobRecord& gang,
+                  const JobRecord& job,
+                  TimePoint now) const;
   bool MakeRoom(JobRecord& job, TimePoint now);
   std::vector<Amount> DeficitsOf(const JobRecord& job,
                                  const Slots& slots,
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -173,6 +173,17 @@
                   workspace->second.reclaim_deadline / 3);
 }
 
+// Whether a reservation for `job` may stop the gang now. Among gangs of the
+// same size a swap gains nothing, so they keep their turn longer.
+bool ShapeScheduler::HasHadTurn(const JobRecord& gang,
+                                const JobRecord& job,
+                                TimePoint now) const {
+  const Duration turn = gang.accelerators() < job.accelerators()
+                            ? policy_.reservation_slice
+                            : policy_.reservation_quantum;
+  return now - gang.started >= turn;
+}
+
 bool ShapeScheduler::MakeRoom(JobRecord& job, TimePoint now) {
   const HoldKind kind = job.hold->kind;
   const auto deficits = DeficitsOf(job, job.hold->slots, kind, true);
@@ -187,8 +198,11 @@
           ? StopReason::kUrgent
           : StopReason::kReclaimed;
   const Duration grace = GraceFor(job);
-  for (JobRecord* victim : plan->victims)
+  for (JobRecord* victim : plan->victims) {
+    if (kind == HoldKind::kReservation && !HasHadTurn(*victim, job, now))
+      continue;
     RequestStop(*victim, reason, grace, now);
+  }
   return true;
 }
 
@@ -215,10 +229,14 @@
 }
 
 void ShapeScheduler::UpdateReservation(TimePoint now) {
-  for (const JobRecord* it : holding_) {
-    if (it->hold->kind == HoldKind::kReservation)
-      return;
-  }
+  const auto reserved = static_cast<size_t>(
+      std::count_if(holding_.begin(), holding_.end(), [](const JobRecord* it) {
+        return it->hold->kind == HoldKind::kReservation;
+      }));
+  if (reserved >= policy_.max_reservations)
+    return;
+  JobRecord* first = nullptr;
+  Slots first_slots;
   for (JobRecord* job : queue_.Oldest(policy_.reservation_scan)) {
     if (job->hold || now < job->not_before || IsOverQuota(*job) ||
         now - job->waiting_since < policy_.patience)
@@ -226,9 +244,26 @@
     auto found = FindCheapest(*job, HoldKind::kReservation, now);
     if (!found)
       continue;
-    PlaceHold(*job, HoldKind::kReservation, std::move(*found), {}, now);
-    return;
+    const auto plan = PlanVictims(
+        *job, DeficitsOf(*job, *found, HoldKind::kReservation, false),
+        HoldKind::kReservation, now);
+    const bool is_ready =
+        plan && std::all_of(plan->victims.begin(), plan->victims.end(),
+                            [&](const JobRecord* it) {
+                              return HasHadTurn(*it, *job, now);
+                            });
+    if (is_ready) {
+      PlaceHold(*job, HoldKind::kReservation, std::move(*found), {}, now);
+      return;
+    }
+    if (first == nullptr) {
+      first = job;
+      first_slots = std::move(*found);
+    }
   }
+  // Nobody can be served at once: the oldest one collects what becomes free.
+  if (first != nullptr)
+    PlaceHold(*first, HoldKind::kReservation, std::move(first_slots), {}, now);
 }
 
 }  // namespace quetzalshelf::scheduling
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -72,8 +72,12 @@
 }
 
 bool ShapeScheduler::TryJob(JobRecord& job, TimePoint now) {
-  if (job.hold || now < job.not_before || IsOverQuota(job))
+  if (now < job.not_before || IsOverQuota(job))
     return false;
+  // A reserved gang takes other capacity that has become free meanwhile.
+  if (job.hold) {
+    return job.hold->kind == HoldKind::kReservation && TryFree(job, now);
+  }
   if (TryGuaranteed(job, now) || TryFree(job, now))
     return true;
   if (job.job.urgency == Urgency::kUrgent)
