--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -96,7 +96,7 @@
   // Jobs (shape_scheduler.cc).
   JobRecord* FindJob(const JobId& id) const;
   JobRecord* FindAttempt(const JobId& id, Attempt attempt) const;
-  void ResetAccounts(const std::vector<Workspace>& workspaces);
+  void RebuildBook();
   std::optional<RefuseJob> CheckSubmission(const Job& job) const;
   std::optional<RefuseJob> CheckPlaceable(const Job& job) const;
   JobRecord& AddRecord(const Job& job, TimePoint now);
@@ -125,7 +125,6 @@
   bool TryProbe(WorkerIndex worker, TimePoint now);
   void UpdateDomains(TimePoint now);
   void Replan(TimePoint now);
-  void Recharge(TimePoint now);
 
   // Placement (shape_scheduler_pass.cc).
   void RunPass(TimePoint now);
@@ -133,6 +132,8 @@
   bool TryGuaranteed(JobRecord& job, TimePoint now);
   bool TryFree(JobRecord& job, TimePoint now);
   bool TryUrgent(JobRecord& job, TimePoint now);
+  bool IsEntitledByAmount(const JobRecord& job) const;
+  void SetByAmount(JobRecord& job, bool by_amount);
   bool IsOverQuota(const JobRecord& job) const;
   std::optional<HomeBook::Placement> FindHomes(const JobRecord& job,
                                                Fillers fillers) const;
@@ -163,6 +164,9 @@
   bool AdvanceHold(JobRecord& job, TimePoint now);
   bool IsHoldValid(const JobRecord& job) const;
   bool CanStartHold(const JobRecord& job) const;
+  bool HasHadTurn(const JobRecord& gang,
+                  const JobRecord& job,
+                  TimePoint now) const;
   bool MakeRoom(JobRecord& job, TimePoint now);
   std::vector<Amount> DeficitsOf(const JobRecord& job,
                                  const Slots& slots,
@@ -203,10 +207,11 @@
   Timers checkpoint_timers_;
   Timers protection_timers_;
   std::vector<FailedShape> failed_shapes_;
-  std::set<JobRecord*> recharge_;  // Guaranteed gangs without a charge.
-  bool homes_freed_ = false;
+  std::vector<Shape> waiting_shapes_;  // Of the first jobs in the last pass.
   Commands out_;
   uint64_t next_sequence_ = 1;
+  // Used by gangs that started elsewhere because their homes were fragmented.
+  std::map<WorkspaceId, Accelerators> by_amount_;
   bool freed_ = false;  // Capacity became free since the last pass.
 };
 
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "servers/scheduling/fragmentation_gradient.h"
+
 namespace quetzalshelf::scheduling {
 
 namespace {
@@ -12,6 +14,9 @@
 // Workers on which the job failed are avoided; more than these are not.
 constexpr size_t kMaxExcluded = 8;
 
+// Shapes that the fragmentation gradient looks at.
+constexpr size_t kMaxWaitingShapes = 32;
+
 bool Contains(const std::vector<WorkerIndex>& list, WorkerIndex worker) {
   return std::find(list.begin(), list.end(), worker) != list.end();
 }
@@ -38,7 +43,13 @@
   freed_ = false;
   failed_shapes_.clear();
   UpdateHandicaps();
-  for (JobRecord* job : queue_.First(policy_.scan_limit))
+  const std::vector<JobRecord*> first = queue_.First(policy_.scan_limit);
+  waiting_shapes_.clear();
+  for (const JobRecord* job : first) {
+    if (waiting_shapes_.size() < kMaxWaitingShapes)
+      waiting_shapes_.push_back(job->job.gang);
+  }
+  for (JobRecord* job : first)
     TryJob(*job, now);
 }
 
@@ -61,11 +72,41 @@
 }
 
 bool ShapeScheduler::TryJob(JobRecord& job, TimePoint now) {
-  if (job.hold || now < job.not_before || IsOverQuota(job))
+  if (now < job.not_before || IsOverQuota(job))
     return false;
+  // A reserved gang takes other capacity that has become free meanwhile.
+  if (job.hold) {
+    return job.hold->kind == HoldKind::kReservation && TryFree(job, now);
+  }
   if (TryGuaranteed(job, now) || TryFree(job, now))
     return true;
-  return job.job.urgency == Urgency::kUrgent && TryUrgent(job, now);
+  if (job.job.urgency == Urgency::kUrgent)
+    return TryUrgent(job, now);
+  if (!IsEntitledByAmount(job) || !TryUrgent(job, now))
+    return false;
+  SetByAmount(job, true);
+  return true;
+}
+
+// Whether the guarantee has enough left for the gang though no home has room
+// for its shape. Such a gang may take the place of borrowers anywhere.
+bool ShapeScheduler::IsEntitledByAmount(const JobRecord& job) const {
+  const auto used = by_amount_.find(job.job.workspace);
+  const Accelerators taken =
+      used == by_amount_.end() ? Accelerators() : used->second;
+  return taken + job.accelerators() <=
+         ledger_.book().UnchargedOf(job.job.workspace);
+}
+
+void ShapeScheduler::SetByAmount(JobRecord& job, bool by_amount) {
+  if (job.by_amount == by_amount)
+    return;
+  job.by_amount = by_amount;
+  Accelerators& taken = by_amount_[job.job.workspace];
+  if (by_amount)
+    taken += job.accelerators();
+  else
+    taken -= job.accelerators();
 }
 
 bool ShapeScheduler::IsOverQuota(const JobRecord& job) const {
@@ -104,8 +145,10 @@
   if (fillers != Fillers::kNone) {
     for (const size_t home : book.HomesOf(job.job.workspace)) {
       for (size_t n = 0; n < book.SlotCount(home); ++n) {
-        for (const JobRecord* it :
-             ledger_.worker(book.slot(home, n).worker).gangs) {
+        const auto worker = book.slot(home, n).worker;
+        if (!worker)
+          continue;
+        for (const JobRecord* it : ledger_.worker(*worker).gangs) {
           if (IsFiller(*it, job, fillers))
             movable[{home, n}] += TakenBy(*it, home, n);
         }
@@ -115,10 +158,12 @@
   HomeBook::View view;
   view.uncharged = [&](size_t home, size_t slot) {
     const HomeBook::Slot& it = book.slot(home, slot);
+    if (!it.worker || !ledger_.IsUsable(*it.worker) ||
+        Contains(excluded, *it.worker))
+      return Resources();
     const ClusterLedger::DomainEntry& domain =
-        ledger_.domain(ledger_.worker(it.worker).domain);
-    if (!ledger_.IsUsable(it.worker) || Contains(excluded, it.worker) ||
-        (domain.state == DomainState::kReturning && domain.starts_left <= 0))
+        ledger_.domain(ledger_.worker(*it.worker).domain);
+    if (domain.state == DomainState::kReturning && domain.starts_left <= 0)
       return Resources();
     const auto more = movable.find({home, slot});
     return more == movable.end() ? it.uncharged : it.uncharged + more->second;
@@ -133,16 +178,21 @@
   return book.Find(job.job.workspace, job.job.gang, view);
 }
 
-// A smaller gang of the same workspace in its home slices. It may be moved for
-// a gang that the guarantee covers, because otherwise small gangs that ended in
-// another order than they came would keep a whole shape from its owner. Only
-// smaller gangs give way, so two gangs never displace each other in turn.
+// A gang of the same workspace that is easier to place, by the size of its
+// tasks and then of the whole gang. It may be moved within the homes for a gang
+// that the guarantee covers, because otherwise gangs that ended in another
+// order than they came would keep a shape from its owner. The order is strict,
+// so two gangs never displace each other in turn.
 bool ShapeScheduler::IsFiller(const JobRecord& filler,
                               const JobRecord& job,
                               Fillers fillers) {
   if (fillers == Fillers::kNone || !filler.charged || filler.releasing ||
-      filler.job.workspace != job.job.workspace ||
-      filler.accelerators() >= job.accelerators())
+      filler.job.workspace != job.job.workspace)
+    return false;
+  const auto size = [](const JobRecord& it) {
+    return std::pair(it.job.gang.per_task.accelerators, it.accelerators());
+  };
+  if (size(filler) >= size(job))
     return false;
   return fillers == Fillers::kAll || filler.job.urgency != Urgency::kUrgent;
 }
@@ -199,10 +249,6 @@
 bool ShapeScheduler::TryGuaranteed(JobRecord& job, TimePoint now) {
   if (HasFailed(job, Search::kSlices))
     return false;
-  if (!ledger_.IsEntitled(job)) {
-    RememberFailure(job, Search::kSlices);
-    return false;
-  }
   const auto found = FindHomes(job, Fillers::kNone);
   if (!found) {
     if (TryDisplace(job, now))
@@ -222,7 +268,11 @@
   auto excluded = probation_.FailedOn(job.job.id);
   if (excluded.size() > kMaxExcluded)
     excluded.resize(kMaxExcluded);
-  auto found = ledger_.free().Find(job.job.gang, excluded);
+  const FragmentationGradient gradient(ledger_.free(), job.job.gang,
+                                       waiting_shapes_);
+  const bool use_gradient = policy_.placement == PlacementRule::kGradient;
+  auto found = ledger_.free().Find(job.job.gang, excluded,
+                                   use_gradient ? &gradient : nullptr);
   if (!found && !excluded.empty())
     found = ledger_.free().Find(job.job.gang, {});
   return found;
@@ -267,7 +317,6 @@
   ledger_.Allocate(job);
   job.guaranteed = !uses.empty();
   if (job.guaranteed) {
-    ledger_.EnterAccount(job);
     ledger_.Charge(job, std::move(uses));
   }
   UpdatePin(job, now);
