--- a/bench/guarantee_book.cc
+++ b/bench/guarantee_book.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -102,29 +103,28 @@
     const Shape& shape = guarantee.shape;
     unused_ += shape.per_task * shape.tasks * guarantee.count;
     for (int n = 0; n < guarantee.count; ++n) {
-      blocks_.push_back(
-          {shape.adjacency, shape.per_task,
-           std::vector<Resources>(static_cast<size_t>(shape.tasks),
-                                  shape.per_task)});
+      const auto slices = static_cast<size_t>(shape.tasks);
+      blocks_.push_back({shape.adjacency, shape.per_task,
+                         std::vector<Resources>(slices, shape.per_task)});
     }
   }
 }
 
-bool GuaranteeBook::Covers(const Shape& gang) const {
+bool GuaranteeBook::Covers(const Shape& gang) {
+  Map();
   return (gang.per_task * gang.tasks).FitsIn(unused_) && !Find(gang).empty();
 }
 
-bool GuaranteeBook::Charge(const JobId& job, const Shape& gang) {
+bool GuaranteeBook::Charge(const JobId& job,
+                           const Shape& gang,
+                           std::vector<const Worker*> workers) {
   const Resources total = gang.per_task * gang.tasks;
   if (!total.FitsIn(unused_)) {
     return false;
   }
   unused_ -= total;
-  std::vector<GuaranteeUse> uses = Find(gang);
-  for (const GuaranteeUse& it : uses) {
-    blocks_[it.block].free[it.slice] -= gang.per_task * it.tasks;
-  }
-  charged_[job] = {gang.per_task, total, std::move(uses)};
+  charged_[job] = {gang.per_task, total, std::move(workers)};
+  mapped_ = false;
   return true;
 }
 
@@ -134,14 +134,86 @@
 
 void GuaranteeBook::Release(const JobId& job) {
   const auto found = charged_.find(job);
-  if (found == charged_.end()) {
+  if (found != charged_.end()) {
+    unused_ += found->second.total;
+    charged_.erase(found);
+    mapped_ = false;
+  }
+}
+
+const std::vector<GuaranteeBlock>& GuaranteeBook::blocks() {
+  Map();
+  return blocks_;
+}
+
+// The largest blocks come first, each where most of the tasks left are.
+void GuaranteeBook::Map() {
+  if (mapped_) {
     return;
   }
-  for (const GuaranteeUse& it : found->second.uses) {
-    blocks_[it.block].free[it.slice] += found->second.per_task * it.tasks;
+  mapped_ = true;
+  std::vector<Task> tasks;
+  for (const auto& [job, charged] : charged_) {
+    for (const Worker* worker : charged.workers) {
+      tasks.push_back({charged.per_task, worker});
+    }
+  }
+  std::vector<GuaranteeBlock*> order;
+  for (GuaranteeBlock& block : blocks_) {
+    block.free.assign(block.free.size(), block.per_slice);
+    order.push_back(&block);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const GuaranteeBlock* a, const GuaranteeBlock* b) {
+                     return a->FreeAccelerators() > b->FreeAccelerators();
+                   });
+  for (GuaranteeBlock* block : order) {
+    std::set<std::string> groups;
+    for (const Task& it : tasks) {
+      groups.insert(Group(block->adjacency, *it.worker));
+    }
+    std::vector<Task> left = tasks;
+    for (const std::string& group : groups) {
+      GuaranteeBlock filled = *block;
+      std::vector<Task> rest = tasks;
+      filled.free = Fill(*block, group, rest);
+      if (rest.size() < left.size()) {
+        left = std::move(rest);
+        block->free = std::move(filled.free);
+      }
+    }
+    tasks = std::move(left);
+  }
+}
+
+// Removes the tasks that found a slice. Each slice in turn takes the worker
+// with the most accelerators in tasks left.
+std::vector<Resources> GuaranteeBook::Fill(const GuaranteeBlock& block,
+                                           const std::string& group,
+                                           std::vector<Task>& tasks) {
+  std::vector<Resources> free(block.free.size(), block.per_slice);
+  for (Resources& slice : free) {
+    std::map<const Worker*, int64_t> sums;
+    for (const Task& it : tasks) {
+      if (Group(block.adjacency, *it.worker) == group &&
+          it.resources.FitsIn(slice)) {
+        sums[it.worker] += 1 + it.resources.accelerators.value();
+      }
+    }
+    const Worker* best = nullptr;
+    for (const auto& [worker, sum] : sums) {
+      if (best == nullptr || sum > sums[best] ||
+          (sum == sums[best] && worker->id < best->id)) {
+        best = worker;
+      }
+    }
+    std::erase_if(tasks, [&](const Task& it) {
+      const bool fits = it.worker == best && it.resources.FitsIn(slice);
+      slice -= fits ? it.resources : Resources{};
+      return fits;
+    });
   }
-  unused_ += found->second.total;
-  charged_.erase(found);
+  return free;
 }
 
 std::vector<GuaranteeUse> GuaranteeBook::Find(const Shape& gang) const {
--- a/bench/guarantee_book.h
+++ b/bench/guarantee_book.h
@@ -5,6 +5,8 @@
 #define BENCH_GUARANTEE_BOOK_H_
 
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "core/ids.h"
@@ -34,25 +36,36 @@
   explicit GuaranteeBook(const scheduling::Workspace& workspace);
 
   // Whether the gang fits in what no guaranteed gang of the workspace uses.
-  bool Covers(const scheduling::Shape& gang) const;
-  // Charges a running gang: to the tightest part that holds it and, in any
-  // case, to the sum, because it may occupy slices together that it does not
-  // fit one by one. Returns false, and charges nothing, when the sum is used
-  // up.
-  bool Charge(const JobId& job, const scheduling::Shape& gang);
+  bool Covers(const scheduling::Shape& gang);
+  // Charges a running gang, given the worker of each task that is left. Returns
+  // false, and charges nothing, when the sum of the guarantees is used up.
+  bool Charge(const JobId& job,
+              const scheduling::Shape& gang,
+              std::vector<const scheduling::Worker*> workers);
   void Release(const JobId& job);
 
   bool IsCharged(const JobId& job) const;
 
-  const std::vector<GuaranteeBlock>& blocks() const { return blocks_; }
+  const std::vector<GuaranteeBlock>& blocks();
 
  private:
   struct Charged {
     Resources per_task;
     Resources total;
-    std::vector<GuaranteeUse> uses;
+    std::vector<const scheduling::Worker*> workers;
+  };
+  // A charged task that no slice has been found for yet.
+  struct Task {
+    Resources resources;
+    const scheduling::Worker* worker = nullptr;
   };
 
+  // Finds slices for all charged tasks: the tasks in a slice are on one worker,
+  // those in a block are adjacent as the block demands.
+  void Map();
+  static std::vector<Resources> Fill(const GuaranteeBlock& block,
+                                     const std::string& group,
+                                     std::vector<Task>& tasks);
   std::vector<GuaranteeUse> Find(const scheduling::Shape& gang) const;
   std::vector<GuaranteeUse> FindInBlock(size_t block,
                                         const scheduling::Shape& gang) const;
@@ -61,6 +74,7 @@
   std::vector<GuaranteeBlock> blocks_;
   Resources unused_;  // Sum of all slices less what is charged.
   std::map<JobId, Charged> charged_;
+  bool mapped_ = true;
 };
 
 // Whether empty space on the workers holds all free slices of the blocks, each
--- a/bench/guarantee_watch.cc
+++ b/bench/guarantee_watch.cc
@@ -30,7 +30,10 @@
   state.changed = true;
 }
 
-void GuaranteeWatch::Hold(const scheduling::Job& job, bool guaranteed) {
+void GuaranteeWatch::Hold(
+    const scheduling::Job& job,
+    bool guaranteed,
+    const std::vector<const scheduling::Worker*>& workers) {
   State& state = states_[job.workspace];
   state.used += Total(job);
   state.changed = true;
@@ -39,7 +42,7 @@
     it->second.queued = false;
   }
   if (guaranteed) {
-    state.book.Charge(job.id, job.gang);
+    state.book.Charge(job.id, job.gang, workers);
   }
 }
 
@@ -64,14 +67,17 @@
   }
 }
 
-bool GuaranteeWatch::SetCharged(const scheduling::Job& job, bool charged) {
+bool GuaranteeWatch::SetCharged(
+    const scheduling::Job& job,
+    bool charged,
+    const std::vector<const scheduling::Worker*>& workers) {
   State& state = states_[job.workspace];
   if (charged == state.book.IsCharged(job.id)) {
     return true;
   }
   state.changed = true;
   if (charged) {
-    return state.book.Charge(job.id, job.gang);
+    return state.book.Charge(job.id, job.gang, workers);
   }
   state.book.Release(job.id);
   return true;
@@ -180,10 +186,10 @@
   return true;
 }
 
-bool GuaranteeWatch::GuaranteesCanBeHeld() const {
+bool GuaranteeWatch::GuaranteesCanBeHeld() {
   std::vector<GuaranteeBlock> all;
   std::vector<GuaranteeBlock> unused;
-  for (const auto& [id, state] : states_) {
+  for (auto& [id, state] : states_) {
     for (const GuaranteeBlock& block : state.book.blocks()) {
       unused.push_back(block);
       all.push_back(block);
--- a/bench/guarantee_watch.h
+++ b/bench/guarantee_watch.h
@@ -40,7 +40,9 @@
   void Wait(const scheduling::Job& job, TimePoint now);
   // The gang starts, which takes up its workspace's quota and, if guaranteed,
   // its guarantees.
-  void Hold(const scheduling::Job& job, bool guaranteed);
+  void Hold(const scheduling::Job& job,
+            bool guaranteed,
+            const std::vector<const scheduling::Worker*>& workers);
   // The gang runs, stops, or its job has ended: it waits no longer.
   void Leave(const scheduling::Job& job);
   // The gang holds nothing any more.
@@ -50,7 +52,9 @@
 
   // Charges a running gang to its workspace's guarantees, if they cover it, or
   // ends the charge. Returns whether the charge is as wanted.
-  bool SetCharged(const scheduling::Job& job, bool charged);
+  bool SetCharged(const scheduling::Job& job,
+                  bool charged,
+                  const std::vector<const scheduling::Worker*>& workers);
   // Workspaces with a covered gang that has waited half of the time allowed.
   std::vector<WorkspaceId> Pressed(TimePoint now) const;
 
@@ -85,7 +89,7 @@
   static void UpdateCover(State& state, TimePoint now);
   Duration Limit(const State& state) const;
   bool Violated(const State& state, Entry& entry, TimePoint now);
-  bool GuaranteesCanBeHeld() const;
+  bool GuaranteesCanBeHeld();
 
   Duration start_latency_;
   SpaceSource space_;
--- a/bench/oracle.cc
+++ b/bench/oracle.cc
@@ -347,7 +347,7 @@
   state.incomplete = false;
   state.guaranteed = start.guaranteed;
   held_[start.job] = &state;
-  guarantees_.Hold(state.job, start.guaranteed);
+  guarantees_.Hold(state.job, start.guaranteed, WorkersOf(start.placement));
   for (const WorkerId& it : state.placement) {
     WorkerState& worker = workers_[it];
     worker.used += state.job.gang.per_task;
@@ -419,6 +419,16 @@
   }
 }
 
+std::vector<const Worker*> Oracle::WorkersOf(const Placement& placement) const {
+  std::vector<const Worker*> out;
+  for (const WorkerId& it : placement) {
+    if (const auto found = workers_.find(it); found != workers_.end()) {
+      out.push_back(&found->second.worker);
+    }
+  }
+  return out;
+}
+
 void Oracle::SyncCharges(const WorkspaceId& workspace) {
   for (auto& [id, held] : held_) {
     JobState& state = *held;
@@ -427,7 +437,8 @@
       continue;
     }
     const bool claimed = claim_(id);
-    if (!guarantees_.SetCharged(state.job, claimed) ||
+    if (!guarantees_.SetCharged(state.job, claimed,
+                                WorkersOf(state.placement)) ||
         claimed == state.guaranteed) {
       continue;
     }
--- a/bench/oracle.h
+++ b/bench/oracle.h
@@ -127,6 +127,9 @@
   static bool AllGone(const JobState& state);
   JobState* FindHeld(const JobId& job, Attempt attempt);
 
+  // Of every task that is left.
+  std::vector<const scheduling::Worker*> WorkersOf(
+      const scheduling::Placement& placement) const;
   void SyncCharges(const WorkspaceId& workspace);
   void CountViolation(const GuaranteeViolation& violation, TimePoint now);
   GuaranteeWatch::Space SpaceForGuarantees() const;
