--- a/bench/driver.h
+++ b/bench/driver.h
@@ -5,6 +5,7 @@
 #define BENCH_DRIVER_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <queue>
 #include <set>
@@ -49,6 +50,12 @@
   TimePoint end;
 };
 
+// Range of a latency, uniform.
+struct LatencyRange {
+  Duration min;
+  Duration max;
+};
+
 class Driver {
  public:
   Driver(const Trace& trace,
@@ -58,6 +65,9 @@
   RunResult Run();
 
  private:
+  // A start that does not complete fails after that time.
+  static constexpr Duration kStartTimeout{2'000};
+
   enum class EventKind {
     kSubmit,
     kFault,
@@ -127,6 +137,7 @@
   void OnWorkerLost(const Event& event);
   void OnDomainDown(const Event& event);
 
+  // Faults (driver_faults.cc).
   void CancelJob(size_t job);
   void BreakWorker(size_t worker, WorkerPool::Cause cause);
   void RepairWorker(size_t worker, WorkerPool::Cause cause);
@@ -137,8 +148,7 @@
   void SetDomain(const DomainId& domain, bool in_service);
 
   // Calls the scheduler and carries out its commands.
-  template <typename Call>
-  void Tell(Call call);
+  void Tell(const std::function<scheduling::Commands()>& call);
   void Apply(const scheduling::StartGang& start);
   void Apply(const scheduling::StopGang& stop);
   void Apply(const scheduling::CheckpointGang& checkpoint);
@@ -156,7 +166,7 @@
   void Release(size_t job);
   void CloseJob(size_t job, Outcome outcome);
   void EndJob(size_t job, Outcome outcome);
-  Duration Latency(size_t job, uint64_t salt, Duration min, Duration max);
+  Duration Latency(size_t job, uint64_t salt, const LatencyRange& range);
   void SampleFragmentation();
 
   const Trace& trace_;
