--- a/bench/main/capacity_bench.cc
+++ b/bench/main/capacity_bench.cc
@@ -43,11 +43,13 @@
 // Growth for each 1,000 workers.
 nlohmann::ordered_json Slopes(const std::vector<CapacityResult>& results) {
   std::vector<double> thousands;
+  thousands.reserve(results.size());
   for (const CapacityResult& it : results) {
     thousands.push_back(it.workers / 1e3);
   }
   const auto slope = [&](auto value) {
     std::vector<double> values;
+    values.reserve(results.size());
     for (const CapacityResult& it : results) {
       values.push_back(value(it));
     }
