Serve the baseline first in, first out; keep skipping as a second one

Cause: the baseline let gangs overtake one that does not fit, although its definition is first in, first out. Outgoing calls use one HttpCaller for each kind of peer, so that dead workers cannot use up the threads of the store.

--- a/bench/main/policy_bench.cc
+++ b/bench/main/policy_bench.cc
@@ -20,6 +20,7 @@
   std::string seeds;  // "A..B"; empty for `seed` alone.
   std::vector<std::string> deployments = {"solano", "viveiro"};
   std::string scheduler = "both";
+  SchedulerKind baseline = SchedulerKind::kNaive;
   bool faults = true;
   bool json = false;
   bool findings = false;
@@ -38,10 +39,10 @@
     traces.back().seed = seed;
     const Trace& trace = traces.back();
     ours.push_back(RunTrace(trace, options.scheduler == "naive"
-                                       ? SchedulerKind::kNaive
+                                       ? options.baseline
                                        : SchedulerKind::kShape));
     if (options.scheduler == "both") {
-      naive.push_back(RunTrace(trace, SchedulerKind::kNaive));
+      naive.push_back(RunTrace(trace, options.baseline));
     }
   }
   return Compare(deployment, traces, ours, naive);
@@ -108,6 +109,11 @@
   app.add_option("--scheduler", options.scheduler,
                  "both, shape, or naive alone")
       ->check(CLI::IsMember({"both", "shape", "naive"}));
+  std::string baseline = "naive";
+  app.add_option("--baseline", baseline,
+                 "naive (first in, first out) or skipping (gangs may overtake "
+                 "one that does not fit)")
+      ->check(CLI::IsMember({"naive", "skipping"}));
   std::string faults = "on";
   app.add_option("--faults", faults, "on or off")
       ->check(CLI::IsMember({"on", "off"}));
@@ -115,6 +121,9 @@
   app.add_flag("--findings", options.findings,
                "Print the first faults found on standard error");
   CLI11_PARSE(app, argc, argv);
+  using quetzalshelf::bench::SchedulerKind;
+  options.baseline = baseline == "naive" ? SchedulerKind::kNaive
+                                         : SchedulerKind::kNaiveSkipping;
   options.faults = faults == "on";
   return quetzalshelf::bench::Run(options);
 }
--- a/bench/schedulers.h
+++ b/bench/schedulers.h
@@ -10,7 +10,9 @@
 
 namespace quetzalshelf::bench {
 
-enum class SchedulerKind { kShape, kNaive };
+// kNaiveSkipping is the baseline that lets gangs overtake one that does not
+// fit.
+enum class SchedulerKind { kShape, kNaive, kNaiveSkipping };
 
 std::unique_ptr<scheduling::GangScheduler> MakeScheduler(SchedulerKind kind);
 
--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -14,7 +14,10 @@
 constexpr Duration kRefreshPeriod{500};
 constexpr Duration kVmListPeriod{2'000};
 constexpr Duration kPeerTimeout{2'000};
-constexpr int kCallerThreads = 32;
+constexpr int kStoreThreads = 8;
+constexpr int kWorkerThreads = 16;
+constexpr int kBackendThreads = 64;
+constexpr int kPeerThreads = 16;
 constexpr int kMaxPendingCalls = 4'096;
 
 HttpServerOptions ServerOptions(const DaemonConfig& config) {
@@ -27,9 +30,9 @@
   return options;
 }
 
-HttpCallerOptions CallerOptions() {
+HttpCallerOptions CallerOptions(int threads) {
   HttpCallerOptions options;
-  options.threads = kCallerThreads;
+  options.threads = threads;
   options.max_pending = kMaxPendingCalls;
   return options;
 }
@@ -81,12 +84,12 @@
 }
 
 std::unique_ptr<PlatformPorts> MakePorts(const DaemonConfig& config,
-                                         HttpCaller& caller,
+                                         const OutsideCallers& callers,
                                          TaskRunner& runner,
                                          const Clock& clock) {
   if (config.standalone)
     return MakeEmbeddedPorts(config, runner, clock);
-  return MakeHttpPorts(config, caller, runner);
+  return MakeHttpPorts(config, callers, runner);
 }
 
 }  // namespace
@@ -101,9 +104,15 @@
               clock_,
               static_cast<size_t>(config_.limits.timeline_events)),
       runner_(io),
-      caller_(io, metrics_, CallerOptions()),
-      ports_(MakePorts(config_, caller_, runner_, clock_)),
-      peers_(caller_, runner_, config_.node, kPeerTimeout),
+      store_caller_(io, metrics_, CallerOptions(kStoreThreads)),
+      worker_caller_(io, metrics_, CallerOptions(kWorkerThreads)),
+      backend_caller_(io, metrics_, CallerOptions(kBackendThreads)),
+      peer_caller_(io, metrics_, CallerOptions(kPeerThreads)),
+      ports_(MakePorts(config_,
+                       {store_caller_, worker_caller_, backend_caller_},
+                       runner_,
+                       clock_)),
+      peers_(peer_caller_, runner_, config_.node, kPeerTimeout),
       gate_(ports_->table(), clock_, {}, SeedOf(incarnation_)),
       committer_(gate_, clock_, incarnation_, {}, SeedOf(incarnation_)),
       membership_(gate_,
--- a/main/daemon/daemon.h
+++ b/main/daemon/daemon.h
@@ -73,7 +73,12 @@
   MetricsRegistry metrics_;
   EventLog events_;
   AsioTaskRunner runner_;
-  HttpCaller caller_;
+  // Callers of their own, so that peers, workers or backend servers that do not
+  // answer use up no threads of the others.
+  HttpCaller store_caller_;
+  HttpCaller worker_caller_;
+  HttpCaller backend_caller_;
+  HttpCaller peer_caller_;
   std::unique_ptr<PlatformPorts> ports_;
   HttpPeerPort peers_;
   cluster::StoreGate gate_;
--- a/main/daemon/http_ports.cc
+++ b/main/daemon/http_ports.cc
@@ -16,13 +16,13 @@
 class HttpPorts : public PlatformPorts {
  public:
   HttpPorts(const PlatformAddress& platform,
-            HttpCaller& caller,
+            const OutsideCallers& callers,
             TaskRunner& runner)
-      : table_(caller, runner, platform),
-        objects_(caller, platform),
-        vms_(caller, platform),
-        workers_(caller, runner, kCallTimeout),
-        backends_(caller, runner) {}
+      : table_(callers.store, runner, platform),
+        objects_(callers.store, platform),
+        vms_(callers.store, platform),
+        workers_(callers.workers, runner, kCallTimeout),
+        backends_(callers.backends, runner) {}
 
   Table& table() override { return table_; }
   ObjectStore& objects() override { return objects_; }
@@ -41,13 +41,13 @@
 }  // namespace
 
 std::unique_ptr<PlatformPorts> MakeHttpPorts(const DaemonConfig& config,
-                                             HttpCaller& caller,
+                                             const OutsideCallers& callers,
                                              TaskRunner& runner) {
   PlatformAddress address;
   address.host = config.platform.host;
   address.port = config.platform.port;
   address.timeout = kCallTimeout;
-  return std::make_unique<HttpPorts>(address, caller, runner);
+  return std::make_unique<HttpPorts>(address, callers, runner);
 }
 
 }  // namespace quetzalshelf
--- a/main/daemon/platform_ports.h
+++ b/main/daemon/platform_ports.h
@@ -29,10 +29,17 @@
   virtual BackendPort& backends() = 0;
 };
 
-// The platform, workers and backend servers over HTTP. `caller` and `runner`,
-// which share one io_context, must outlive the ports.
+// The callers of the services; all share one io_context.
+struct OutsideCallers {
+  HttpCaller& store;
+  HttpCaller& workers;
+  HttpCaller& backends;
+};
+
+// The platform, workers and backend servers over HTTP. The callers and
+// `runner`, which share one io_context, must outlive the ports.
 std::unique_ptr<PlatformPorts> MakeHttpPorts(const DaemonConfig& config,
-                                             HttpCaller& caller,
+                                             const OutsideCallers& callers,
                                              TaskRunner& runner);
 
 // A platform, a few workers and a backend server in this process, so that the
--- a/servers/scheduling/naive_scheduler.cc
+++ b/servers/scheduling/naive_scheduler.cc
@@ -358,18 +358,29 @@
     }
   }
   PreemptNewest(claimed, out);
-  Accelerators spare = capacity_.FreeInService() - claimed;
+  StartBorrowers(waiting, capacity_.FreeInService() - claimed, out);
+}
+
+void NaiveScheduler::StartBorrowers(const std::vector<JobState*>& waiting,
+                                    Accelerators spare,
+                                    Commands& out) {
+  // Shapes that did not fit; trying them again would not change the outcome.
   std::vector<Shape> blocked;
   for (JobState* state : waiting) {
     const Shape& gang = state->job.gang;
-    if (state->phase != JobPhase::kWaiting || Total(gang) > spare ||
-        !WithinQuota(*state) ||
-        std::find(blocked.begin(), blocked.end(), gang) != blocked.end()) {
+    if (state->phase != JobPhase::kWaiting || !WithinQuota(*state)) {
       continue;
     }
-    if (TryStart(*state, true, out)) {
+    const bool known_blocked =
+        std::find(blocked.begin(), blocked.end(), gang) != blocked.end();
+    if (!known_blocked && Total(gang) <= spare && TryStart(*state, true, out)) {
       spare -= Total(gang);
-    } else if (state->avoid.empty()) {
+      continue;
+    }
+    if (queueing_ == Queueing::kInOrder) {
+      return;
+    }
+    if (state->avoid.empty()) {
       blocked.push_back(gang);
     }
   }
--- a/servers/scheduling/naive_scheduler.h
+++ b/servers/scheduling/naive_scheduler.h
@@ -22,6 +22,14 @@
 // wherever it is free. Stops never wait for a checkpoint.
 class NaiveScheduler : public GangScheduler {
  public:
+  // How borrowers are served. In order: a gang that cannot start holds up all
+  // later ones. Skipping: later gangs that fit start before it, a stronger
+  // baseline that is no longer first in, first out.
+  enum class Queueing { kInOrder, kSkipping };
+
+  explicit NaiveScheduler(Queueing queueing = Queueing::kInOrder)
+      : queueing_(queueing) {}
+
   Commands SetWorkspaces(const std::vector<Workspace>& workspaces,
                          TimePoint now) override;
   Commands AddWorker(const Worker& worker, TimePoint now) override;
@@ -101,6 +109,9 @@
 
   // Starts whatever fits, and preempts for guaranteed counts.
   void Schedule(Commands& out);
+  void StartBorrowers(const std::vector<JobState*>& waiting,
+                      Accelerators spare,
+                      Commands& out);
   bool TryStart(JobState& state, bool borrower, Commands& out);
   bool WithinGuarantee(const JobState& state, Accelerators claimed) const;
   bool WithinQuota(const JobState& state) const;
@@ -114,6 +125,7 @@
   std::map<uint64_t, JobState*> held_;  // By order of start.
   uint64_t next_order_ = 1;
   uint64_t next_start_ = 1;
+  const Queueing queueing_;
   bool changed_ = false;  // Something may fit that did not fit before.
 };
 
