Keep the ids of forgotten jobs taken until the next owner

The decision core remembers ended jobs, so a new job under the id of a deleted row was accepted and then refused by the naive scheduler, or left waiting by the shape scheduler. Such a submission is now a conflict.

--- a/servers/jobs/job_service.cc
+++ b/servers/jobs/job_service.cc
@@ -132,6 +132,11 @@
     }
     return;
   }
+  if (used_ids_.contains(job)) {
+    done(Reply(SubmitOutcome::kConflict, job,
+               "the job id was used by a job that ended; choose another"));
+    return;
+  }
   if (submits_.size() >= options_.max_pending_submissions) {
     done(Reply(SubmitOutcome::kNotRun, job, "too many submissions at once"));
     return;
@@ -290,6 +295,7 @@
     if (now - item.second < options_.retention)
       return false;
     rows_.Erase(item.first);
+    used_ids_.insert(item.first);
     return true;
   });
 }
--- a/servers/jobs/job_service.h
+++ b/servers/jobs/job_service.h
@@ -49,7 +49,8 @@
   Duration recovery_wait{10'000};
   // Shorter wait when only workers without known gangs are missing.
   Duration first_sync_wait{3'000};
-  // How long a finished job can be asked for, counted by each owner.
+  // How long a finished job can be asked for, counted by each owner. Its id
+  // stays taken until the next owner.
   Duration retention{24 * 60 * 60 * 1'000};
   size_t max_pending_submissions = 1'000;
 };
@@ -211,6 +212,9 @@
   // When this owner learned of the end of a job.
   std::map<JobId, TimePoint> ended_;
   TimePoint next_retention_;
+  // Ids of deleted rows. The scheduler remembers ended jobs and would refuse a
+  // new job under such an id.
+  std::set<JobId> used_ids_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
