Show the timeline by node and explain jobs that have ended

`job why` printed an empty line for refused jobs, since the scheduler had forgotten them; their row gives the reason. Taking a failure domain out printed its warnings twice. Tests cover the page and the explanation.

--- a/main/ctl/cluster_commands.cc
+++ b/main/ctl/cluster_commands.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <ctime>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -133,6 +134,46 @@
   return escaped;
 }
 
+// The nodes that have events, in the order of their names.
+std::vector<std::string> NodesOf(const std::vector<Json>& events) {
+  std::set<std::string> nodes;
+  for (const Json& it : events)
+    nodes.insert(Text(it, "node"));
+  return {nodes.begin(), nodes.end()};
+}
+
+// What an event is about, with its epoch and settings version.
+std::string Details(const Json& event) {
+  std::string text = Subject(event);
+  for (const char* field : {"epoch", "settings"}) {
+    const std::string value = Text(event, field);
+    if (value.empty())
+      continue;
+    if (!text.empty())
+      text += " ";
+    text += std::string(field) + "=" + value;
+  }
+  return text;
+}
+
+// A row of the page: the time, and the event in the column of its node.
+std::string EventRow(const Json& event, const std::vector<std::string>& nodes) {
+  const auto time = static_cast<int64_t>(Number(event, "time_ms"));
+  std::string row = "<tr title=\"" + EscapeHtml(Text(event, "node")) + ", " +
+                    EscapeHtml(Text(event, "hlc")) + "\"><td>" +
+                    FormatTime(time) + "</td>";
+  for (const std::string& it : nodes) {
+    if (it != Text(event, "node")) {
+      row += "<td></td>";
+      continue;
+    }
+    row += "<td class=\"event\"><b>" + EscapeHtml(Text(event, "kind")) +
+           "</b> " + EscapeHtml(Details(event)) + "<br>" +
+           EscapeHtml(Text(event, "text")) + "</td>";
+  }
+  return row + "</tr>\n";
+}
+
 constexpr char kPageHead[] = R"(<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>Timeline</title>
 <style>
@@ -143,6 +184,8 @@
   border-bottom: 1px solid #ddd; }
 th { position: sticky; top: 0; background: #f4f4f4; }
 td:first-child { white-space: nowrap; font-family: monospace; }
+td + td { border-left: 2px solid #bbb; }
+td.event { background: #eef4fb; }
 .missing { color: #a00; }
 </style></head><body>
 <h1>Timeline</h1>
@@ -196,20 +239,15 @@
   for (const std::string& it : missing)
     page += "<p class=\"missing\">The events of " + EscapeHtml(it) +
             " are missing.</p>\n";
+  const std::vector<std::string> nodes = NodesOf(events);
   page +=
       "<input id=\"filter\" placeholder=\"Filter by words\">\n"
-      "<table><thead><tr><th>Time (UTC)</th><th>Node</th><th>Event</th>"
-      "<th>About</th><th>Epoch</th><th>Settings</th><th>Text</th></tr>"
-      "</thead><tbody>\n";
-  for (const Json& it : events) {
-    page += "<tr>";
-    for (const std::string& cell :
-         {FormatTime(static_cast<int64_t>(Number(it, "time_ms"))),
-          Text(it, "node"), Text(it, "kind"), Subject(it), Text(it, "epoch"),
-          Text(it, "settings"), Text(it, "text")})
-      page += "<td>" + EscapeHtml(cell) + "</td>";
-    page += "</tr>\n";
-  }
+      "<table><thead><tr><th>Time (UTC)</th>";
+  for (const std::string& it : nodes)
+    page += "<th>" + EscapeHtml(it) + "</th>";
+  page += "</tr></thead><tbody>\n";
+  for (const Json& it : events)
+    page += EventRow(it, nodes);
   return page + kPageTail;
 }
 
--- a/main/ctl/cluster_commands.h
+++ b/main/ctl/cluster_commands.h
@@ -41,7 +41,8 @@
 // that cannot be reached are named; with none reached the exit is kNoServer.
 Exit ShowTimeline(Context& context, const TimelineOptions& options);
 
-// One page that needs nothing from a network. `missing` names nodes whose
+// One page that needs nothing from a network: a row for each event, with one
+// column for each node. `missing` names nodes whose
 // events are not in it.
 std::string TimelinePage(const std::vector<Json>& events,
                          const std::vector<std::string>& missing);
--- a/main/ctl/workspace_commands.cc
+++ b/main/ctl/workspace_commands.cc
@@ -210,10 +210,12 @@
     based.base_version = Number(current.body, "version");
   ChangeOptions preview = based;
   preview.dry_run = true;
-  const ApiReply checked = PutSettings(context, path, in_service, 0, preview);
+  ApiReply checked = PutSettings(context, path, in_service, 0, preview);
   if (!checked.ok() || options.dry_run) {
     if (checked.ok())
       PrintPreview(context, checked, domain, in_service);
+    if (!context.json && checked.ok())
+      checked.body.erase("warnings");
     return ReportChange(context, checked);
   }
   PrintPreview(context, checked, domain, in_service);
@@ -226,8 +228,11 @@
       return Exit::kRefused;
     }
   }
-  return ReportChange(context,
-                      PutSettings(context, path, in_service, 0, based));
+  ApiReply reply = PutSettings(context, path, in_service, 0, based);
+  // The preview has shown the warnings.
+  if (!context.json && reply.ok())
+    reply.body.erase("warnings");
+  return ReportChange(context, reply);
 }
 
 Exit DomainStatus(Context& context) {
--- a/main/daemon/api/job_api.cc
+++ b/main/daemon/api/job_api.cc
@@ -181,8 +181,7 @@
                  const HttpRequest& request,
                  const Responder& respond) {
   if (const auto view = Find(service, request, respond)) {
-    respond(JsonResponse(
-        EncodeExplanation(view->record.spec.job.id, view->explanation)));
+    respond(JsonResponse(EncodeExplanation(*view)));
   }
 }
 
--- a/main/daemon/api/job_codec.cc
+++ b/main/daemon/api/job_codec.cc
@@ -44,6 +44,34 @@
   return "unknown";
 }
 
+// The phase and sentence of a job that the scheduler has forgotten, since it
+// has ended.
+scheduling::JobExplanation ExplainEnded(const jobs::JobRecord& record) {
+  scheduling::JobExplanation result;
+  switch (record.state) {
+    case jobs::JobState::kFinished:
+      result.phase = scheduling::JobPhase::kFinished;
+      result.sentence = "It has finished.";
+      break;
+    case jobs::JobState::kCancelled:
+      result.phase = scheduling::JobPhase::kCancelled;
+      result.sentence = "It was cancelled.";
+      break;
+    case jobs::JobState::kRefused:
+      result.phase = scheduling::JobPhase::kRefused;
+      result.sentence = "It will not run: " + record.detail + ".";
+      break;
+    case jobs::JobState::kFailed:
+      result.phase = scheduling::JobPhase::kFailed;
+      result.sentence = "It failed: " + record.detail + ".";
+      break;
+    default:
+      result.sentence = "The scheduler does not know it yet.";
+      break;
+  }
+  return result;
+}
+
 std::string RetryAfterSeconds(Duration retry_after) {
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(retry_after);
   return std::to_string(seconds.count());
@@ -74,13 +102,15 @@
   json["guaranteed"] = record.guaranteed;
   json["checkpoint_ms"] = record.checkpoint.count();
   json["detail"] = record.detail;
-  json["why"] = EncodeExplanation(record.spec.job.id, view.explanation);
+  json["why"] = EncodeExplanation(view);
   return json;
 }
 
-Json EncodeExplanation(const JobId& job,
-                       const scheduling::JobExplanation& explanation) {
-  return {{"id", job.value()},
+Json EncodeExplanation(const jobs::JobView& view) {
+  const bool known = !view.explanation.sentence.empty();
+  const scheduling::JobExplanation explanation =
+      known ? view.explanation : ExplainEnded(view.record);
+  return {{"id", view.record.spec.job.id.value()},
           {"phase", PhaseName(explanation.phase)},
           {"sentence", explanation.sentence},
           {"remedy", explanation.remedy}};
--- a/main/daemon/api/job_codec.h
+++ b/main/daemon/api/job_codec.h
@@ -12,9 +12,8 @@
 
 // `{"id","workspace","kind","state","tasks",...,"why"}`.
 Json EncodeJob(const jobs::JobView& view);
-// `{"id","phase","sentence","remedy"}`.
-Json EncodeExplanation(const JobId& job,
-                       const scheduling::JobExplanation& explanation);
+// `{"id","phase","sentence","remedy"}`; also explains jobs that have ended.
+Json EncodeExplanation(const jobs::JobView& view);
 
 // 201 for a new job, 200 for a repeated submission, 409 for a conflict, 503
 // when it was not accepted, 504 when that is unknown.
--- a/servers/settings/settings_service.cc
+++ b/servers/settings/settings_service.cc
@@ -165,7 +165,9 @@
 
 void SettingsService::OnInForce(const SettingsTree& tree) {
   if (events_ != nullptr) {
-    events_->Add({.kind = "settings.in_force", .settings = tree.version()});
+    events_->Add({.kind = "settings.in_force",
+                  .settings = tree.version(),
+                  .text = "version " + std::to_string(tree.version().value())});
   }
   if (on_in_force_)
     on_in_force_(tree);
--- a/tests/main/command_line_test.cc
+++ b/tests/main/command_line_test.cc
@@ -11,6 +11,7 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include "main/ctl/cluster_commands.h"
 #include "main/ctl/command_line.h"
 #include "main/ctl/http_transport.h"
 #include "servers/settings/schema.h"
@@ -176,7 +177,7 @@
        {{"job", "list", "--state=odd"}, kUsage, "state"},
        {{"job", "status", "j1"}, kOk, "running"},
        {{"job", "status", "none"}, Exit::kRefused, "none"},
-       {{"job", "why", "j1"}, kOk, "."},
+       {{"job", "why", "j1"}, kOk, "It runs on borrowed capacity"},
        {{"job", "result", "j1"}, Exit::kRefused, "result"},
        {{"failure-domain", "status"}, kOk, "cartago-2       central  in"},
        {{"failure-domain", "out", "cartago-2", why}, kUsage, "--yes"},
@@ -198,6 +199,19 @@
   CHECK(shell.files["t.html"].find("job.running") != std::string::npos);
 }
 
+// Guards against an explanation that ends with the scheduler's memory of a job.
+TEST_CASE("A refused job tells why it will not run") {
+  DaemonFixture daemon;
+  Shell shell = ShellFor(daemon);
+  shell.variables["QUETZALSHELF_TOKEN"] = kOpsToken;
+  const std::vector<std::string> submit = {"job", "submit", "--workspace=plaza",
+                                           "--tasks=99", "--accelerators=8"};
+  CheckAll(shell, {{submit, kOk, "job-1"}});
+  daemon.WaitUntil("/v1/jobs/job-1", {{"state", "refused"}});
+  CheckAll(shell, {{{"job", "why", "job-1"}, kOk, "It will not run: "},
+                   {{"job", "status", "job-1"}, kOk, "It will not run: "}});
+}
+
 // Guards against a published result that the operator cannot read.
 TEST_CASE("The result of a finished job is printed and written to a file") {
   DaemonFixture daemon;
@@ -314,6 +328,32 @@
   }
 }
 
+// Guards against a page that needs a network, that mixes up the nodes, or that
+// runs texts of callers as markup.
+TEST_CASE("The page of the timeline has a column for each node") {
+  const std::vector<Json> events = {
+      {{"hlc", "1.0"}, {"time_ms", 1}, {"node", "n2"}, {"kind", "a"}},
+      {{"hlc", "2.0"},
+       {"time_ms", 2},
+       {"node", "n1"},
+       {"kind", "b"},
+       {"job", "<script>"},
+       {"text", "t"}}};
+  const std::string page = TimelinePage(events, {"n3"});
+  const auto holds = [&page](const std::string& part) {
+    return page.find(part) != std::string::npos;
+  };
+  CHECK(holds("<th>Time (UTC)</th><th>n1</th><th>n2</th></tr>"));
+  CHECK(holds("00.001</td><td></td><td class=\"event\"><b>a</b>"));
+  CHECK(
+      holds("00.002</td><td class=\"event\"><b>b</b> job=&lt;script&gt;"
+            "<br>t</td><td></td></tr>"));
+  CHECK(holds("The events of n3 are missing"));
+  for (const char* part :
+       {"http:", "https:", "src=", "href=", "@import", "url("})
+    CHECK_FALSE(holds(part));
+}
+
 // Answers every change as a node does that could not answer in time.
 class LateTransport : public Transport {
  public:
--- a/tests/main/daemon_fixture.cc
+++ b/tests/main/daemon_fixture.cc
@@ -109,8 +109,8 @@
   return Get("/v1/settings/").dump() + Get("/v1/jobs").dump();
 }
 
-void DaemonFixture::WaitUntil(const std::string& target, const Json& patch) {
-  while (!Holds(Get(target), patch))
+void DaemonFixture::WaitUntil(const std::string& target, const Json& part) {
+  while (!Holds(Get(target), part))
     io_.run_one();
 }
 
--- a/tests/main/daemon_fixture.h
+++ b/tests/main/daemon_fixture.h
@@ -38,9 +38,10 @@
   // Settings with their version, and the jobs: what no bad call may change.
   std::string State();
 
- private:
-  void WaitUntil(const std::string& target, const Json& patch);
+  // Runs the daemon until the answer to a GET holds all fields of `part`.
+  void WaitUntil(const std::string& target, const Json& part);
 
+ private:
   asio::io_context io_;
   MetricsRegistry metrics_;
   std::unique_ptr<HttpCaller> caller_;
