Test that the status comes from the owner of the shard

A node that does not own the shard knows no guarantees; quetzalshelfctl must not take that for guarantees that are all held.

--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -176,12 +176,13 @@
   };
   steps.is_idle = [this] { return router_.IsIdle(); };
   steps.record_tickets = [this](std::function<void()> recorded) {
-    archive_.Store(incarnation_, router_.ExportTickets(),
-                   [recorded = std::move(recorded)](absl::Status status) {
-                     if (!status.ok())
-                       LOG(ERROR) << "ticket record: " << status.message();
-                     recorded();
-                   });
+    archive_.Store(
+        incarnation_, router_.ExportTickets(),
+        [recorded = std::move(recorded)](const absl::Status& status) {
+          if (!status.ok())
+            LOG(ERROR) << "ticket record: " << status.message();
+          recorded();
+        });
   };
   steps.close_server = [this](std::function<void()> closed) {
     server_.Stop(std::move(closed));
--- a/tests/main/command_line_test.cc
+++ b/tests/main/command_line_test.cc
@@ -328,6 +328,55 @@
   }
 }
 
+// A node that does not own the shard, and its owner at port 2, which may be
+// out of reach.
+class TwoNodeTransport : public Transport {
+ public:
+  explicit TwoNodeTransport(bool owner_reachable)
+      : owner_reachable_(owner_reachable) {}
+
+  HttpReply Send(const Server& server, const HttpCall&) override {
+    const bool owner = server.port == 2;
+    if (owner && !owner_reachable_)
+      return {.delivery = Delivery::kNotSent, .error = "refused"};
+    Json shard = {{"region", "central"},
+                  {"owner", "n2"},
+                  {"owner_address", "127.0.0.1:2"},
+                  {"owned_here", owner},
+                  {"jobs_waiting", nullptr}};
+    Json body = {{"node", owner ? "n2" : "n1"}, {"guarantees", nullptr}};
+    if (owner) {
+      shard["jobs_waiting"] = 41;
+      body["guarantees"] = Json::array(
+          {{{"workspace", "plaza"}, {"guarantee", 3}, {"reason", "full"}}});
+    }
+    body["shards"] = Json::array({shard});
+    return {
+        .delivery = Delivery::kAnswered, .status = 200, .body = body.dump()};
+  }
+
+ private:
+  const bool owner_reachable_;
+};
+
+// Guards against "all guarantees are held" from a node that does not know.
+TEST_CASE("The status comes from the owner of the shard if it is reachable") {
+  for (const bool reachable : {true, false}) {
+    Shell shell([reachable](const auto&) {
+      return std::make_unique<TwoNodeTransport>(reachable);
+    });
+    const Outcome outcome = shell.Run({"status", "--server=127.0.0.1:1"});
+    CHECK(outcome.exit == kOk);
+    const auto holds = [&outcome](const std::string& part) {
+      return outcome.out.find(part) != std::string::npos;
+    };
+    CHECK(holds(reachable ? "node n2" : "node n1"));
+    CHECK(holds("41") == reachable);
+    CHECK(holds("guarantee 3 of plaza is not held: full") == reachable);
+    CHECK((outcome.err.find("is not known") != std::string::npos) != reachable);
+  }
+}
+
 // Guards against a page that needs a network, that mixes up the nodes, or that
 // runs texts of callers as markup.
 TEST_CASE("The page of the timeline has a column for each node") {
--- a/tests/main/daemon_fixture.cc
+++ b/tests/main/daemon_fixture.cc
@@ -16,7 +16,9 @@
       "standalone: true\n"
       "node: {id: n1, region: central, failure_domain: cartago}\n"
       "listen: {host: 127.0.0.1, port: 0}\n"
-      "limits: {max_body_bytes: 65536}\n"
+      "limits: {max_body_bytes: " +
+      std::to_string(kBodyLimit) +
+      "}\n"
       "log: {level: error}\n"
       "access:\n"
       "  allow_anonymous: false\n"
--- a/tests/main/daemon_fixture.h
+++ b/tests/main/daemon_fixture.h
@@ -22,7 +22,7 @@
 inline constexpr char kOpsToken[] = "ops-0123456789abcdef";
 inline constexpr char kCalleToken[] = "calle-0123456789abcdef";
 inline constexpr char kWrongToken[] = "wrong-0123456789abcdef";
-inline constexpr int kBodyLimit = 65'536;
+inline constexpr size_t kBodyLimit = 65'536;
 
 // Its constructor returns when the daemon owns its shard and serves. The teams
 // plaza and calle exist, and the job j1 of plaza runs for a day.
