--- a/tests/main/daemon_fixture.cc
+++ b/tests/main/daemon_fixture.cc
@@ -16,7 +16,9 @@
       "standalone: true\n"
       "node: {id: n1, region: central, failure_domain: cartago}\n"
       "listen: {host: 127.0.0.1, port: 0}\n"
-      "limits: {max_body_bytes: 65536}\n"
+      "limits: {max_body_bytes: " +
+      std::to_string(kBodyLimit) +
+      "}\n"
       "log: {level: error}\n"
       "access:\n"
       "  allow_anonymous: false\n"
@@ -109,8 +111,8 @@
   return Get("/v1/settings/").dump() + Get("/v1/jobs").dump();
 }
 
-void DaemonFixture::WaitUntil(const std::string& target, const Json& patch) {
-  while (!Holds(Get(target), patch))
+void DaemonFixture::WaitUntil(const std::string& target, const Json& part) {
+  while (!Holds(Get(target), part))
     io_.run_one();
 }
 
--- a/tests/main/daemon_fixture.h
+++ b/tests/main/daemon_fixture.h
@@ -22,7 +22,7 @@
 inline constexpr char kOpsToken[] = "ops-0123456789abcdef";
 inline constexpr char kCalleToken[] = "calle-0123456789abcdef";
 inline constexpr char kWrongToken[] = "wrong-0123456789abcdef";
-inline constexpr int kBodyLimit = 65'536;
+inline constexpr size_t kBodyLimit = 65'536;
 
 // Its constructor returns when the daemon owns its shard and serves. The teams
 // plaza and calle exist, and the job j1 of plaza runs for a day.
@@ -38,9 +38,10 @@
   // Settings with their version, and the jobs: what no bad call may change.
   std::string State();
 
- private:
-  void WaitUntil(const std::string& target, const Json& patch);
+  // Runs the daemon until the answer to a GET holds all fields of `part`.
+  void WaitUntil(const std::string& target, const Json& part);
 
+ private:
   asio::io_context io_;
   MetricsRegistry metrics_;
   std::unique_ptr<HttpCaller> caller_;
