--- a/core/state_chart.cc
+++ b/core/state_chart.cc
@@ -112,7 +112,7 @@
     for (const auto& it : node) {
       const std::string field = it.first.as<std::string>("");
       if (field != "on" && field != "ignore" && field != "final")
-        Fault(it.first, path + "/" + field, "unknown field");
+        Fault(it.first, path, "unknown field \"" + field + "\"");
     }
     const bool final = node["final"] && node["final"].as<bool>(false);
     chart_.final_[StateChart::Index(state)] = final;
--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -110,7 +110,8 @@
                         const Slots& slots,
                         int sign) {
   for (const Slot& it : slots) {
-    workers_[it.worker].*account += job.job.gang.per_task * (it.tasks * sign);
+    workers_[it.worker].*account +=
+        job.job.gang.per_task * (int64_t{it.tasks} * sign);
     Refresh(it.worker);
   }
 }
--- a/servers/scheduling/guarantee_planner.cc
+++ b/servers/scheduling/guarantee_planner.cc
@@ -173,6 +173,7 @@
       ++missing[{it.workspace, it.guarantee}];
   }
   std::vector<UnheldGuarantee> result;
+  result.reserve(missing.size());
   for (const auto& [key, count] : missing) {
     result.push_back({key.first, key.second, count,
                       "the workers in service have no room for " +
--- a/servers/scheduling/home_book.cc
+++ b/servers/scheduling/home_book.cc
@@ -131,7 +131,8 @@
                       const Resources& per_task,
                       int sign) {
   for (const HomeUse& it : uses)
-    homes_[it.home].slots[it.slot].uncharged -= per_task * (it.tasks * sign);
+    homes_[it.home].slots[it.slot].uncharged -=
+        per_task * (int64_t{it.tasks} * sign);
 }
 
 const std::vector<size_t>& HomeBook::HomesOf(
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -252,7 +252,9 @@
                             [&](const JobRecord* it) {
                               return HasHadTurn(*it, *job, now);
                             });
-    if (is_ready) {
+    // Nobody goes before a gang that has waited for a whole turn.
+    const bool is_due = now - job->waiting_since >= policy_.reservation_quantum;
+    if (is_ready || (is_due && first == nullptr)) {
       PlaceHold(*job, HoldKind::kReservation, std::move(*found), {}, now);
       return;
     }
--- a/tests/scheduling/parts_test.cc
+++ b/tests/scheduling/parts_test.cc
@@ -19,7 +19,7 @@
 namespace quetzalshelf::scheduling {
 namespace {
 
-Resources Make(int accelerators) {
+Resources Make(int64_t accelerators) {
   return {Accelerators(accelerators), MilliCores(8'000 * accelerators),
           Mebibytes(16'384 * accelerators)};
 }
--- a/tests/scheduling/simulation.cc
+++ b/tests/scheduling/simulation.cc
@@ -25,10 +25,11 @@
   Job job;
   job.id = JobId(id);
   job.workspace = WorkspaceId(workspace);
-  job.gang = {tasks,
-              {Accelerators(accelerators), MilliCores(1'000 * accelerators),
-               Mebibytes(1'024 * accelerators)},
-              adjacency};
+  job.gang = {
+      tasks,
+      {Accelerators(accelerators), MilliCores(int64_t{1'000} * accelerators),
+       Mebibytes(int64_t{1'024} * accelerators)},
+      adjacency};
   job.urgency = urgency;
   return job;
 }
@@ -56,7 +57,7 @@
   }
 }
 
-void Simulation::Submit(Job job, Duration run_time) {
+void Simulation::Submit(const Job& job, Duration run_time) {
   SimulatedJob& record = jobs_[job.id];
   record.job = job;
   record.run_time = run_time;
--- a/tests/scheduling/simulation.h
+++ b/tests/scheduling/simulation.h
@@ -45,7 +45,7 @@
 
   // Racks of `rack_size` workers, spread over the domains in turn.
   void AddWorkers(int domains, int racks_per_domain, int rack_size);
-  void Submit(Job job, Duration run_time);
+  void Submit(const Job& job, Duration run_time);
   void Cancel(const std::string& id);
   void LoseWorker(const WorkerId& id);
   void ReturnWorker(const WorkerId& id);
