--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -184,6 +184,33 @@
   return false;
 }
 
+// Charges the running gangs to the new guarantees, oldest first.
+void ShapeScheduler::RebuildBook() {
+  std::vector<JobRecord*> entered;
+  for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
+    if (job->hold->kind == HoldKind::kGuarantee)
+      DropHold(*job);
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job->uses.empty())
+      continue;
+    job->uses.clear();
+    job->charged = false;
+    entered.push_back(job.get());
+  }
+  std::sort(entered.begin(), entered.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  ledger_.RebuildBook();
+  ledger_.planner().Plan();
+  ledger_.BindBook();
+  for (JobRecord* job : entered) {
+    if (auto uses = ledger_.FindCharge(*job, job->slots))
+      ledger_.Charge(*job, std::move(*uses));
+  }
+}
+
 void ShapeScheduler::Replan(TimePoint now) {
   if (!ledger_.planner().dirty())
     return;
