--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -9,9 +9,10 @@
 namespace {
 
 constexpr int kMaxTasks = 1'024;
-// A job is given up after this many failures for each one it may have, even
-// when all of them happened on the same worker.
-constexpr int kFailuresOnOneWorker = 4;
+// A job is given up after this many failures for each one it may have, when
+// they happened on two workers, and after the second number on a single one.
+constexpr int kFailuresOnTwoWorkers = 4;
+constexpr int kFailuresOnOneWorker = 16;
 
 bool IsSameSubmission(const Job& a, const Job& b) {
   return a.workspace == b.workspace && a.kind == b.kind && a.gang == b.gang &&
@@ -287,8 +288,10 @@
   if (const auto index = ledger_.Find(worker))
     JudgeFailure(*job, *index, now);
   const int limit = job->job.max_failures;
+  const int factor = probation_.FailedOn(id).size() > 1 ? kFailuresOnTwoWorkers
+                                                        : kFailuresOnOneWorker;
   const bool is_bad = probation_.GoodWorkersFailed(id) >= limit ||
-                      job->failures >= limit * kFailuresOnOneWorker;
+                      job->failures >= limit * factor;
   if (is_bad) {
     job->detail =
         "its tasks failed " + std::to_string(job->failures) + " times, on " +
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -131,6 +131,8 @@
   bool TryJob(JobRecord& job, TimePoint now);
   bool TryGuaranteed(JobRecord& job, TimePoint now);
   bool TryFree(JobRecord& job, TimePoint now);
+  bool TryReserved(JobRecord& job, TimePoint now);
+  bool TryBorrowers(JobRecord& job, TimePoint now);
   bool TryUrgent(JobRecord& job, TimePoint now);
   bool IsEntitledByAmount(const JobRecord& job) const;
   void SetByAmount(JobRecord& job, bool by_amount);
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -74,17 +74,33 @@
 bool ShapeScheduler::TryJob(JobRecord& job, TimePoint now) {
   if (now < job.not_before || IsOverQuota(job))
     return false;
-  // A reserved gang takes other capacity that has become free meanwhile.
-  if (job.hold) {
-    return job.hold->kind == HoldKind::kReservation && TryFree(job, now);
-  }
-  if (TryGuaranteed(job, now) || TryFree(job, now))
+  if (job.hold)
+    return job.hold->kind == HoldKind::kReservation && TryReserved(job, now);
+  return TryGuaranteed(job, now) || TryFree(job, now) || TryBorrowers(job, now);
+}
+
+// A reserved gang takes other capacity that has become free and what its
+// guarantee covers meanwhile; a reservation may wait much longer than that.
+bool ShapeScheduler::TryReserved(JobRecord& job, TimePoint now) {
+  if (TryFree(job, now))
+    return true;
+  Hold reserved = *job.hold;
+  DropHold(job);
+  if (TryGuaranteed(job, now) || TryBorrowers(job, now))
     return true;
+  ledger_.AddHold(job, std::move(reserved));
+  holding_.push_back(&job);
+  return false;
+}
+
+// Takes the place of borrowers for urgent gangs and by amount of guarantee.
+bool ShapeScheduler::TryBorrowers(JobRecord& job, TimePoint now) {
   if (job.job.urgency == Urgency::kUrgent)
     return TryUrgent(job, now);
   if (!IsEntitledByAmount(job) || !TryUrgent(job, now))
     return false;
-  SetByAmount(job, true);
+  if (job.hold || job.holds_capacity())
+    SetByAmount(job, true);
   return true;
 }
 
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -12,6 +12,8 @@
 // A worker for which no probe could be found in this many intervals is used
 // again; two more failures suffice to suspect it once more.
 constexpr int kIntervalsWithoutProbe = 3;
+// Failures of a job on its only worker before that worker is suspected.
+constexpr int kFailuresOnlyHere = 4;
 // Waiting jobs that are considered as a probe.
 constexpr size_t kProbeScan = 64;
 
@@ -131,7 +133,14 @@
   const bool is_probe = job.probes == worker;
   if (is_probe)
     job.probes.reset();
-  if (probation_.RecordFailure(job.job.id, worker) || is_probe)
+  const bool is_suspect = probation_.RecordFailure(job.job.id, worker);
+  // A job that fails again and again on one worker, and was never tried
+  // elsewhere, must get away from it before it is judged.
+  const bool only_here =
+      job.failures >= kFailuresOnlyHere &&
+      probation_.FailedOn(job.job.id).size() == 1 &&
+      ledger_.worker(worker).state == WorkerState::kInService;
+  if (is_suspect || is_probe || only_here)
     Suspect(worker, now);
 }
 
--- a/tests/scheduling/shape_scheduler_test.cc
+++ b/tests/scheduling/shape_scheduler_test.cc
@@ -199,6 +199,19 @@
   CHECK(wasted <= 10);
 }
 
+// Guards against a job that is given up because it was always sent to the same
+// bad worker (policy_bench, solano seed 2, job-4241).
+TEST_CASE_FIXTURE(Fixture, "A job that only a bad worker could hold survives") {
+  SetWorkspaces({MakeWorkspace("guest")});
+  cluster.AddWorkers(1, 1, 2);
+  cluster.Break(WorkerId("d0r0w0"));
+  cluster.Submit(MakeJob("long", "guest", 1, 8), Duration(300'000));
+  cluster.Submit(MakeJob("other", "guest", 1, 8), Duration(300'000));
+  cluster.Run(Duration(3'600'000));
+  CHECK(cluster.job("long").state == State::kDone);
+  CHECK(cluster.job("other").state == State::kDone);
+}
+
 // Guards against a bad job that puts good workers on probation.
 TEST_CASE_FIXTURE(Fixture,
                   "A job that fails everywhere fails with the reason") {
