--- a/servers/scheduling/shape_scheduler.cc
+++ b/servers/scheduling/shape_scheduler.cc
@@ -9,9 +9,10 @@
 namespace {
 
 constexpr int kMaxTasks = 1'024;
-// A job is given up after this many failures for each one it may have, even
-// when all of them happened on the same worker.
-constexpr int kFailuresOnOneWorker = 4;
+// A job is given up after this many failures for each one it may have, when
+// they happened on two workers, and after the second number on a single one.
+constexpr int kFailuresOnTwoWorkers = 4;
+constexpr int kFailuresOnOneWorker = 16;
 
 bool IsSameSubmission(const Job& a, const Job& b) {
   return a.workspace == b.workspace && a.kind == b.kind && a.gang == b.gang &&
@@ -67,33 +68,6 @@
   return Flush();
 }
 
-// Charges the running gangs to the new guarantees, oldest first.
-void ShapeScheduler::RebuildBook() {
-  std::vector<JobRecord*> entered;
-  for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
-    if (job->hold->kind == HoldKind::kGuarantee)
-      DropHold(*job);
-  }
-  for (const auto& [id, job] : jobs_) {
-    if (job->uses.empty())
-      continue;
-    job->uses.clear();
-    job->charged = false;
-    entered.push_back(job.get());
-  }
-  std::sort(entered.begin(), entered.end(),
-            [](const JobRecord* a, const JobRecord* b) {
-              return a->key.sequence < b->key.sequence;
-            });
-  ledger_.RebuildBook();
-  ledger_.planner().Plan();
-  ledger_.BindBook();
-  for (JobRecord* job : entered) {
-    if (auto uses = ledger_.FindCharge(*job, job->slots))
-      ledger_.Charge(*job, std::move(*uses));
-  }
-}
-
 std::optional<RefuseJob> ShapeScheduler::CheckSubmission(const Job& job) const {
   const auto refuse = [&job](RefusalReason reason, std::string detail) {
     return RefuseJob{job.id, reason, std::move(detail)};
@@ -314,8 +288,10 @@
   if (const auto index = ledger_.Find(worker))
     JudgeFailure(*job, *index, now);
   const int limit = job->job.max_failures;
+  const int factor = probation_.FailedOn(id).size() > 1 ? kFailuresOnTwoWorkers
+                                                        : kFailuresOnOneWorker;
   const bool is_bad = probation_.GoodWorkersFailed(id) >= limit ||
-                      job->failures >= limit * kFailuresOnOneWorker;
+                      job->failures >= limit * factor;
   if (is_bad) {
     job->detail =
         "its tasks failed " + std::to_string(job->failures) + " times, on " +
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -12,6 +12,8 @@
 // A worker for which no probe could be found in this many intervals is used
 // again; two more failures suffice to suspect it once more.
 constexpr int kIntervalsWithoutProbe = 3;
+// Failures of a job on its only worker before that worker is suspected.
+constexpr int kFailuresOnlyHere = 4;
 // Waiting jobs that are considered as a probe.
 constexpr size_t kProbeScan = 64;
 
@@ -131,7 +133,14 @@
   const bool is_probe = job.probes == worker;
   if (is_probe)
     job.probes.reset();
-  if (probation_.RecordFailure(job.job.id, worker) || is_probe)
+  const bool is_suspect = probation_.RecordFailure(job.job.id, worker);
+  // A job that fails again and again on one worker, and was never tried
+  // elsewhere, must get away from it before it is judged.
+  const bool only_here =
+      job.failures >= kFailuresOnlyHere &&
+      probation_.FailedOn(job.job.id).size() == 1 &&
+      ledger_.worker(worker).state == WorkerState::kInService;
+  if (is_suspect || is_probe || only_here)
     Suspect(worker, now);
 }
 
@@ -184,6 +193,33 @@
   return false;
 }
 
+// Charges the running gangs to the new guarantees, oldest first.
+void ShapeScheduler::RebuildBook() {
+  std::vector<JobRecord*> entered;
+  for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
+    if (job->hold->kind == HoldKind::kGuarantee)
+      DropHold(*job);
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job->uses.empty())
+      continue;
+    job->uses.clear();
+    job->charged = false;
+    entered.push_back(job.get());
+  }
+  std::sort(entered.begin(), entered.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  ledger_.RebuildBook();
+  ledger_.planner().Plan();
+  ledger_.BindBook();
+  for (JobRecord* job : entered) {
+    if (auto uses = ledger_.FindCharge(*job, job->slots))
+      ledger_.Charge(*job, std::move(*uses));
+  }
+}
+
 void ShapeScheduler::Replan(TimePoint now) {
   if (!ledger_.planner().dirty())
     return;
