--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -132,6 +132,8 @@
   bool TryGuaranteed(JobRecord& job, TimePoint now);
   bool TryFree(JobRecord& job, TimePoint now);
   bool TryUrgent(JobRecord& job, TimePoint now);
+  bool IsEntitledByAmount(const JobRecord& job) const;
+  void SetByAmount(JobRecord& job, bool by_amount);
   bool IsOverQuota(const JobRecord& job) const;
   std::optional<HomeBook::Placement> FindHomes(const JobRecord& job,
                                                Fillers fillers) const;
@@ -162,6 +164,9 @@
   bool AdvanceHold(JobRecord& job, TimePoint now);
   bool IsHoldValid(const JobRecord& job) const;
   bool CanStartHold(const JobRecord& job) const;
+  bool HasHadTurn(const JobRecord& gang,
+                  const JobRecord& job,
+                  TimePoint now) const;
   bool MakeRoom(JobRecord& job, TimePoint now);
   std::vector<Amount> DeficitsOf(const JobRecord& job,
                                  const Slots& slots,
@@ -202,8 +207,11 @@
   Timers checkpoint_timers_;
   Timers protection_timers_;
   std::vector<FailedShape> failed_shapes_;
+  std::vector<Shape> waiting_shapes_;  // Of the first jobs in the last pass.
   Commands out_;
   uint64_t next_sequence_ = 1;
+  // Used by gangs that started elsewhere because their homes were fragmented.
+  std::map<WorkspaceId, Accelerators> by_amount_;
   bool freed_ = false;  // Capacity became free since the last pass.
 };
 
