--- a/tests/scheduling/differential_test.cc
+++ b/tests/scheduling/differential_test.cc
@@ -58,7 +58,8 @@
     const auto theirs = RunJobs(naive, seed);
     REQUIRE(ours.size() == theirs.size());
     for (const auto& [id, state] : ours) {
-      CAPTURE(id.value());
+      const std::string name = id.value();
+      CAPTURE(name);
       const State other = theirs.at(id);
       const bool has_ended = state == State::kDone ||
                              state == State::kCancelled ||
