--- a/bench/trace.cc
+++ b/bench/trace.cc
@@ -62,7 +62,7 @@
     }
     AddBursts();
     SortJobs();
-    trace_.offered_load = OfferedLoad();
+    ScaleLoad();
     AddCancelWaves();
     if (with_faults) {
       AddWorkerFailures();
@@ -106,6 +106,22 @@
     return work / (capacity_ * static_cast<double>(spec_.arrivals.count()));
   }
 
+  // A few large jobs more or less would change the load of a whole trace.
+  void ScaleLoad() {
+    if (spec_.offered_load > 0) {
+      const double factor = spec_.offered_load / OfferedLoad();
+      const auto scale = [factor](Duration& it) {
+        it = Millis(static_cast<double>(it.count()) * factor);
+      };
+      for (TraceJob& it : trace_.jobs) {
+        scale(it.run_time);
+        scale(it.fail_after);
+        scale(it.job.declared_run_time);
+      }
+    }
+    trace_.offered_load = OfferedLoad();
+  }
+
   TraceJob DrawJob(const JobKind& kind, TimePoint submit) {
     TraceJob out;
     out.submit = submit;
--- a/bench/trace.h
+++ b/bench/trace.h
@@ -89,6 +89,9 @@
   std::vector<JobKind> kinds;  // The first one has the large gangs.
   Duration arrivals{0};        // Length of the period of arrivals.
   Duration drain{0};
+  // Run times are scaled so that the whole trace offers that load; 0 leaves
+  // them.
+  double offered_load = 0;
   double base_load = 0.8;   // Offered relative to all accelerators.
   double burst_load = 1.1;  // In bursts.
   Duration burst_every{0};
