Make all files agree on the allocator of asio

AddressSanitizer stopped 10 of the 19 new main_test cases with an alloc-dealloc-mismatch: asio took memory with operator new in asio_task_runner.cc and gave it back with free in another file. Asio decides by _GLIBCXX_HAVE_ALIGNED_ALLOC, which is known only after a standard header; the preprocessor shows the macro ASIO_HAS_STD_ALIGNED_ALLOC set or not by the order of the includes, and not set in either order with this definition. The asan build with this change was not finished when it was committed.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -10,8 +10,10 @@
 pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
 
 add_library(quetzalshelf_asio INTERFACE)
+# Asio uses aligned_alloc only where a standard header was included before it,
+# so that files would disagree on how its memory is freed.
 target_compile_definitions(quetzalshelf_asio INTERFACE
-  ASIO_STANDALONE ASIO_NO_DEPRECATED)
+  ASIO_STANDALONE ASIO_NO_DEPRECATED ASIO_DISABLE_STD_ALIGNED_ALLOC)
 target_link_libraries(quetzalshelf_asio INTERFACE Threads::Threads)
 
 # The flags of cpp-httplib decide the layout of its classes; they come from
