--- a/standins/platform/platform_service.cc
+++ b/standins/platform/platform_service.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <utility>
 
+#include <xxhash.h>
+
 #include "drivers/http/api_error.h"
 #include "drivers/http/json_body.h"
 #include "drivers/platform/platform_codec.h"
@@ -85,6 +87,19 @@
   return limit;
 }
 
+// `json` with an entity tag, or 304 when the caller knows that tag.
+HttpResponse TaggedResponse(const Json& json, const std::string& known_tag) {
+  HttpResponse response = JsonResponse(json);
+  const std::string tag =
+      std::to_string(XXH3_64bits(response.body.data(), response.body.size()));
+  if (tag == known_tag) {
+    response = HttpResponse();
+    response.status = 304;
+  }
+  response.headers.push_back({"ETag", tag});
+  return response;
+}
+
 }  // namespace
 
 PlatformService::PlatformService(TaskRunner& runner, const Clock& clock)
@@ -153,9 +168,11 @@
 
 void PlatformService::InstallVms(HttpServer& server) {
   server.Handle(
-      "GET", "/vms", [this](const HttpRequest&, const Responder& respond) {
-        vms_.List([respond](const absl::StatusOr<std::vector<Vm>>& vms) {
-          respond(vms.ok() ? JsonResponse(EncodeVms(*vms))
+      "GET", "/vms",
+      [this](const HttpRequest& request, const Responder& respond) {
+        const std::string known = request.Header("If-None-Match");
+        vms_.List([known, respond](const absl::StatusOr<std::vector<Vm>>& vms) {
+          respond(vms.ok() ? TaggedResponse(EncodeVms(*vms), known)
                            : ErrorResponse(vms.status()));
         });
       });
