--- a/drivers/platform/http_vm_list.cc
+++ b/drivers/platform/http_vm_list.cc
@@ -20,20 +20,19 @@
   HttpCall call = MakePlatformCall(address_, "GET", "/vms");
   if (!cache_->tag.empty())
     call.headers.push_back({"If-None-Match", cache_->tag});
-  caller_.Call(
-      std::move(call), [cache = cache_, done = std::move(done)](
-                           const absl::StatusOr<HttpResponse>& reply) {
-        if (reply.ok() && reply->status == kNotModified) {
-          done(cache->vms);
-          return;
-        }
-        auto vms = DecodeReply<std::vector<Vm>>(reply, &DecodeVms);
-        if (vms.ok()) {
-          cache->tag = FindField(reply->headers, "ETag");
-          cache->vms = *vms;
-        }
-        done(std::move(vms));
-      });
+  caller_.Call(std::move(call), [cache = cache_, done = std::move(done)](
+                                    const absl::StatusOr<HttpResponse>& reply) {
+    if (reply.ok() && reply->status == kNotModified) {
+      done(cache->vms);
+      return;
+    }
+    auto vms = DecodeReply<std::vector<Vm>>(reply, &DecodeVms);
+    if (vms.ok()) {
+      cache->tag = FindField(reply->headers, "ETag");
+      cache->vms = *vms;
+    }
+    done(std::move(vms));
+  });
 }
 
 }  // namespace quetzalshelf
--- a/main/daemon/embedded_ports.cc
+++ b/main/daemon/embedded_ports.cc
@@ -14,7 +14,7 @@
 constexpr int kWorkers = 6;
 constexpr int kWorkersPerRack = 3;
 constexpr Resources kWorkerCapacity{Accelerators(8), MilliCores(64'000),
-                                    Mebibytes(128 * 1'024)};
+                                    Mebibytes(131'072)};
 constexpr Duration kWorkerTimeout{1'500};
 constexpr int kBackendSlots = 8;
 constexpr Duration kBackendDelay{20};
--- a/tests/standins/http_ports_test.cc
+++ b/tests/standins/http_ports_test.cc
@@ -153,6 +153,36 @@
   CHECK(findings.items().back().place.file == "missing.yaml");
 }
 
+// Guards against a cached list that hides a change or is sent over and over.
+TEST_CASE("HttpVmList asks for changes only and sees each of them") {
+  PortHarness harness;
+  PlatformService service(harness.runner, harness.clock);
+  service.Install(harness.server);
+  REQUIRE(harness.server.Start().ok());
+  Vm vm;
+  vm.name = "w1";
+  vm.host = "127.0.0.1";
+  vm.port = 7'001;
+  vm.region = RegionId("r");
+  vm.domain = DomainId("d");
+  service.vms().Put(vm);
+  HttpVmList list(harness.caller,
+                  {"127.0.0.1", harness.server.port(), kLongTimeout});
+  const auto read = [&] {
+    return harness
+        .Await<absl::StatusOr<std::vector<Vm>>>(
+            [&](auto done) { list.List(std::move(done)); })
+        .value();
+  };
+  Counter& bytes = harness.metrics.GetCounter("http_client_bytes_in_total");
+  CHECK(read()[0].state == VmState::kLive);
+  const int64_t whole = bytes.value();
+  CHECK(read()[0].name == "w1");
+  CHECK(bytes.value() - whole < whole);
+  REQUIRE(service.vms().SetState("w1", VmState::kLeaving).ok());
+  CHECK(read()[0].state == VmState::kLeaving);
+}
+
 // Guards against refusals of a worker that change their meaning over HTTP.
 TEST_CASE("HttpWorkerPort keeps the semantics of the worker") {
   PortHarness harness;
