Run the test of the daemon's flags under CTest

CTest split the name of the case at its semicolon into two tests whose filters matched no case, so that both passed without a check.

--- a/tests/main/daemon_config_test.cc
+++ b/tests/main/daemon_config_test.cc
@@ -65,7 +65,7 @@
 }
 
 // Guards against a daemon that starts on a wrong command line.
-TEST_CASE("Flags alone make a standalone daemon; unknown flags end with 2") {
+TEST_CASE("Flags alone make a standalone daemon and unknown flags end with 2") {
   const ReadFile none = [](const std::string&) {
     return absl::NotFoundError("cannot open the file");
   };
