--- a/servers/settings/settings_validator.cc
+++ b/servers/settings/settings_validator.cc
@@ -256,6 +256,7 @@
   for (const Worker& it : site.workers)
     regions.insert(RegionOf(site, it.domain));
   std::vector<Missing> missing;
+  missing.reserve(regions.size());
   for (const RegionId& it : regions)
     missing.push_back(MissingIn(it, workspaces, site, out));
   std::vector<UnheldGuarantee> unheld;
