Exchange slots of neighbouring homes and put guarantees before urgent holds

Cause 1: two gangs in two half-used homes of one rack left neither home with room, though their gangs could as well fill one home. Free slots of homes with the same adjacency in one group are now combined for a gang that fits in one whole home. Cause 2: a guarantee hold was given up at once when a hold in the place of borrowers asked for the same worker, because both together exceeded what the worker has. Such holds are now dropped first.

--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -91,6 +91,12 @@
          domains_[entry.domain].state != DomainState::kOut;
 }
 
+GroupIndex ClusterLedger::GroupOf(WorkerIndex worker,
+                                  Adjacency adjacency) const {
+  const WorkerEntry& entry = workers_[worker];
+  return adjacency == Adjacency::kRack ? entry.rack : entry.domain;
+}
+
 void ClusterLedger::Refresh(WorkerIndex index) {
   const WorkerEntry& entry = workers_[index];
   const DomainEntry& domain = domains_[entry.domain];
@@ -206,6 +212,9 @@
     return book_.slot(home, slot).uncharged;
   };
   view.free = [](WorkerIndex /*worker*/) { return Resources(); };
+  view.group = [this](WorkerIndex worker, Adjacency adjacency) {
+    return GroupOf(worker, adjacency);
+  };
   for (const Slot& it : slots)
     view.only[it.worker] = it.tasks;
   auto found = book_.Find(job.job.workspace, job.job.gang, view);
--- a/servers/scheduling/cluster_ledger.h
+++ b/servers/scheduling/cluster_ledger.h
@@ -82,6 +82,8 @@
 
   // Whether the worker is in service and its domain too.
   bool IsUsable(WorkerIndex index) const;
+  // The worker's rack for kRack, its domain for kDomain.
+  GroupIndex GroupOf(WorkerIndex worker, Adjacency adjacency) const;
   // What is free on the worker, held or not.
   Resources Unused(WorkerIndex index) const {
     return workers_[index].info.capacity - workers_[index].used;
--- a/servers/scheduling/home_book.cc
+++ b/servers/scheduling/home_book.cc
@@ -70,7 +70,7 @@
   by_workspace_.clear();
   for (const GuaranteePlanner::Home& it : homes) {
     by_workspace_[it.workspace].push_back(homes_.size());
-    homes_.push_back({it.shape.adjacency,
+    homes_.push_back({it.shape.adjacency, it.shape.per_task,
                       std::vector<Slot>(static_cast<size_t>(it.shape.tasks),
                                         {std::nullopt, it.shape.per_task})});
   }
@@ -117,8 +117,10 @@
     best = std::move(search.placement);
     best_rank = rank;
   }
-  if (best || gang.adjacency != Adjacency::kRegion)
+  if (best)
     return best;
+  if (gang.adjacency != Adjacency::kRegion)
+    return FindInGroups(homes, gang, view);
   Search search(gang, view);
   for (const size_t id : homes)
     search.TakeFrom(id, homes_[id]);
@@ -127,6 +129,52 @@
   return std::move(search.placement);
 }
 
+std::optional<HomeBook::Placement> HomeBook::FindInGroups(
+    const std::vector<size_t>& homes,
+    const Shape& gang,
+    const View& view) const {
+  if (!view.group || gang.adjacency == Adjacency::kWorker)
+    return std::nullopt;
+  struct Group {
+    int64_t left = 0;
+    std::vector<std::pair<size_t, size_t>> slots;
+  };
+  std::map<GroupIndex, Group> groups;
+  bool fits_whole = false;
+  for (const size_t id : homes) {
+    const Home& home = homes_[id];
+    if (home.adjacency != gang.adjacency)
+      continue;
+    const int per_slot = TasksIn(home.per_slot, gang.per_task, gang.tasks);
+    fits_whole =
+        fits_whole ||
+        static_cast<int64_t>(home.slots.size()) * per_slot >= gang.tasks;
+    for (size_t n = 0; n < home.slots.size(); ++n) {
+      if (!home.slots[n].worker)
+        continue;
+      Group& group = groups[view.group(*home.slots[n].worker, gang.adjacency)];
+      group.left += view.uncharged(id, n).accelerators.value();
+      group.slots.emplace_back(id, n);
+    }
+  }
+  std::optional<Placement> best;
+  std::pair<int64_t, int> best_rank;
+  for (const auto& [id, group] : groups) {
+    Search search(gang, view);
+    for (const auto& [home, slot] : group.slots) {
+      if (search.missing > 0)
+        search.Take(home, slot, *homes_[home].slots[slot].worker, false);
+    }
+    const std::pair<int64_t, int> rank = {group.left,
+                                          search.placement.tasks_not_free};
+    if (!fits_whole || search.missing > 0 || (best && rank >= best_rank))
+      continue;
+    best = std::move(search.placement);
+    best_rank = rank;
+  }
+  return best;
+}
+
 void HomeBook::Charge(const HomeUses& uses,
                       const Resources& per_task,
                       int sign) {
--- a/servers/scheduling/home_book.h
+++ b/servers/scheduling/home_book.h
@@ -35,12 +35,16 @@
   };
   struct Home {
     Adjacency adjacency = Adjacency::kRegion;
+    Resources per_slot;
     std::vector<Slot> slots;
   };
   // What a search may use of a slot, and what is free on its worker.
   struct View {
     std::function<Resources(size_t home, size_t slot)> uncharged;
     std::function<Resources(WorkerIndex)> free;
+    // The rack or failure domain of a worker, by adjacency. When empty, slots
+    // of several homes are not combined for a gang with adjacency.
+    std::function<GroupIndex(WorkerIndex, Adjacency)> group;
     // When not empty, exactly these tasks on these workers.
     std::map<WorkerIndex, int> only;
   };
@@ -59,7 +63,9 @@
 
   // Places a gang in one home of its workspace, the one with the least left
   // that holds it; a gang without adjacency may use several. A home that is
-  // looser than the gang has to hold it in one slot.
+  // looser than the gang has to hold it in one slot. Homes that lie in the same
+  // rack or domain may exchange slots, so a gang that fits in one whole home
+  // may use free slots of several.
   std::optional<Placement> Find(const WorkspaceId& workspace,
                                 const Shape& gang,
                                 const View& view) const;
@@ -75,6 +81,9 @@
 
  private:
   struct Search;
+  std::optional<Placement> FindInGroups(const std::vector<size_t>& homes,
+                                        const Shape& gang,
+                                        const View& view) const;
   std::vector<Home> homes_;
   std::map<WorkspaceId, std::vector<size_t>> by_workspace_;
 };
--- a/servers/scheduling/shape_scheduler.h
+++ b/servers/scheduling/shape_scheduler.h
@@ -162,6 +162,7 @@
                  HomeUses uses,
                  TimePoint now);
   void DropHold(JobRecord& job);
+  void DropWeakerHolds();
   void AdvanceHolds(TimePoint now);
   bool AdvanceHold(JobRecord& job, TimePoint now);
   bool IsHoldValid(const JobRecord& job) const;
--- a/servers/scheduling/shape_scheduler_holds.cc
+++ b/servers/scheduling/shape_scheduler_holds.cc
@@ -28,9 +28,23 @@
   ledger_.AddHold(job,
                   {kind, std::move(slots), std::move(uses), now, now + drain});
   holding_.push_back(&job);
+  if (kind == HoldKind::kGuarantee)
+    DropWeakerHolds();
   AdvanceHold(job, now);
 }
 
+// A guarantee goes before holds in the place of borrowers. Left in place, they
+// would count as a deficit that no victim covers, and the guarantee would be
+// given up instead.
+void ShapeScheduler::DropWeakerHolds() {
+  for (JobRecord* job : std::vector<JobRecord*>(holding_)) {
+    if (job->hold->kind != HoldKind::kUrgent || IsHoldValid(*job))
+      continue;
+    SetByAmount(*job, false);
+    DropHold(*job);
+  }
+}
+
 void ShapeScheduler::DropHold(JobRecord& job) {
   if (!job.hold)
     return;
--- a/servers/scheduling/shape_scheduler_pass.cc
+++ b/servers/scheduling/shape_scheduler_pass.cc
@@ -187,6 +187,9 @@
   view.free = [this](WorkerIndex worker) {
     return ledger_.Unused(worker) - ledger_.worker(worker).strong_held;
   };
+  view.group = [this](WorkerIndex worker, Adjacency adjacency) {
+    return ledger_.GroupOf(worker, adjacency);
+  };
   auto found = book.Find(job.job.workspace, job.job.gang, view);
   if (found || excluded.empty())
     return found;
