Free the guarantee of a gang whose home has moved

Cause: a gang whose home moved after the loss of a worker was reported as no longer guaranteed and could be stopped, but its charge stayed until it ended and kept the shape from its workspace. Change: the gang is charged to other slots where it runs, or becomes a borrower.

--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -165,9 +165,26 @@
 
 void ClusterLedger::BindBook() {
   book_.Bind(planner_.homes());
+  std::vector<JobRecord*> moved;
   for (WorkerEntry& worker : workers_) {
-    for (JobRecord* job : worker.gangs)
-      job->charged = !job->releasing && book_.IsInPlace(job->uses);
+    for (JobRecord* job : worker.gangs) {
+      if (job->uses.empty() || book_.IsInPlace(job->uses))
+        continue;
+      book_.Charge(job->uses, job->job.gang.per_task, -1);
+      job->uses.clear();
+      job->charged = false;
+      moved.push_back(job);
+    }
+  }
+  std::sort(moved.begin(), moved.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  for (JobRecord* job : moved) {
+    if (job->releasing)
+      continue;
+    if (auto uses = FindCharge(*job, job->slots))
+      Charge(*job, std::move(*uses));
   }
 }
 
--- a/servers/scheduling/cluster_ledger.h
+++ b/servers/scheduling/cluster_ledger.h
@@ -64,12 +64,13 @@
   GuaranteePlanner& planner() { return planner_; }
   const GuaranteePlanner& planner() const { return planner_; }
   // The shapes of the guarantees and what is charged to them. A gang stays in
-  // the book until it has stopped, also when its home is lost or moved before,
-  // so that no guarantee is promised twice.
+  // the book until it has stopped. When its home moves away from it, the gang
+  // becomes a borrower, because the shape has to be free in its new place.
   const HomeBook& book() const { return book_; }
   // Starts a new book; whatever was charged has to be charged again.
   void RebuildBook() { book_.Rebuild(planner_.homes()); }
-  // Takes over the planned places and finds out which gangs are in them.
+  // Takes over the planned places. Gangs that are not in them any more are
+  // charged to other slots where they run, or else not at all.
   void BindBook();
   // Free capacity that is not held.
   const CapacityIndex& free() const { return free_; }
--- a/servers/scheduling/home_book.h
+++ b/servers/scheduling/home_book.h
@@ -55,8 +55,7 @@
 
   // Starts again with one home for each shape, nothing charged or bound.
   void Rebuild(const std::vector<GuaranteePlanner::Home>& homes);
-  // Puts the slots on the workers of the same homes, as planned. Charges stay,
-  // so that a home that moves is not promised twice.
+  // Puts the slots on the workers of the same homes, as planned. Charges stay.
   void Bind(const std::vector<GuaranteePlanner::Home>& homes);
   // Whether each use still lies on the worker of its slot.
   bool IsInPlace(const HomeUses& uses) const;
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -225,8 +225,8 @@
     return;
   ledger_.planner().Plan();
   ledger_.BindBook();
-  // Gangs whose home has moved may be stopped like borrowers; they are in the
-  // book until then. Holds in homes that have moved are dropped.
+  // Gangs whose home has moved may be stopped like borrowers. Holds in homes
+  // that have moved are dropped.
   for (const ClusterLedger::WorkerEntry& worker : ledger_.workers()) {
     const std::vector<JobRecord*> gangs = worker.gangs;
     for (JobRecord* job : gangs)
--- a/tests/scheduling/guarantee_test.cc
+++ b/tests/scheduling/guarantee_test.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include "servers/scheduling/shape_scheduler.h"
 #include "tests/scheduling/simulation.h"
 
@@ -78,5 +80,32 @@
   CHECK(cluster.job("urgent").starts == 0);
 }
 
+// Guards against a gang that is told to be no longer guaranteed, because its
+// home has moved, and that uses up the guarantee all the same (policy_bench,
+// solano seed 16, job-8249).
+TEST_CASE_FIXTURE(Fixture, "A home that moves is free in its new place") {
+  SetWorkspaces(
+      {MakeWorkspace("owner",
+                     {{MakeJob("", "", 3, 8, Adjacency::kRack).gang, 1}}),
+       MakeWorkspace("guest")});
+  cluster.AddWorkers(1, 2, 3);
+  Submit(MakeJob("small", "owner", 1, 8, Adjacency::kRack));
+  cluster.Run(Duration(2'000));
+  REQUIRE(cluster.job("small").guaranteed);
+  const std::string place = cluster.job("small").placement[0].value();
+  const std::string rack = place.substr(0, place.size() - 1);
+  cluster.LoseWorker(WorkerId(rack + (place == rack + "0" ? "1" : "0")));
+  for (const char* id : {"g0", "g1", "g2", "g3"})
+    Submit(MakeJob(id, "guest", 1, 8));
+  cluster.Run(Duration(2'000));
+  CHECK(scheduler.UnheldGuarantees().empty());
+  CHECK_FALSE(scheduler.Explain(JobId("small"), cluster.now()).guaranteed);
+  Submit(MakeJob("a", "owner", 3, 8, Adjacency::kRack));
+  cluster.Run(kDeadline);
+  CHECK(cluster.job("a").state == State::kRunning);
+  CHECK(cluster.job("a").guaranteed);
+  CHECK(cluster.job("small").starts == 1);
+}
+
 }  // namespace
 }  // namespace quetzalshelf::scheduling
