--- a/servers/scheduling/cluster_ledger.cc
+++ b/servers/scheduling/cluster_ledger.cc
@@ -91,6 +91,12 @@
          domains_[entry.domain].state != DomainState::kOut;
 }
 
+GroupIndex ClusterLedger::GroupOf(WorkerIndex worker,
+                                  Adjacency adjacency) const {
+  const WorkerEntry& entry = workers_[worker];
+  return adjacency == Adjacency::kRack ? entry.rack : entry.domain;
+}
+
 void ClusterLedger::Refresh(WorkerIndex index) {
   const WorkerEntry& entry = workers_[index];
   const DomainEntry& domain = domains_[entry.domain];
@@ -159,9 +165,26 @@
 
 void ClusterLedger::BindBook() {
   book_.Bind(planner_.homes());
+  std::vector<JobRecord*> moved;
   for (WorkerEntry& worker : workers_) {
-    for (JobRecord* job : worker.gangs)
-      job->charged = !job->releasing && book_.IsInPlace(job->uses);
+    for (JobRecord* job : worker.gangs) {
+      if (job->uses.empty() || book_.IsInPlace(job->uses))
+        continue;
+      book_.Charge(job->uses, job->job.gang.per_task, -1);
+      job->uses.clear();
+      job->charged = false;
+      moved.push_back(job);
+    }
+  }
+  std::sort(moved.begin(), moved.end(),
+            [](const JobRecord* a, const JobRecord* b) {
+              return a->key.sequence < b->key.sequence;
+            });
+  for (JobRecord* job : moved) {
+    if (job->releasing)
+      continue;
+    if (auto uses = FindCharge(*job, job->slots))
+      Charge(*job, std::move(*uses));
   }
 }
 
@@ -206,6 +229,9 @@
     return book_.slot(home, slot).uncharged;
   };
   view.free = [](WorkerIndex /*worker*/) { return Resources(); };
+  view.group = [this](WorkerIndex worker, Adjacency adjacency) {
+    return GroupOf(worker, adjacency);
+  };
   for (const Slot& it : slots)
     view.only[it.worker] = it.tasks;
   auto found = book_.Find(job.job.workspace, job.job.gang, view);
