Decode versioned rows in one place

Cause: the check of a row's format version and the collection of its findings stood four times, with two wordings of the same error. Change: core/row_codec.h; member, shard, domain and job rows use it.

--- a/servers/cluster/membership.cc
+++ b/servers/cluster/membership.cc
@@ -1,11 +1,11 @@
 #include "servers/cluster/membership.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "core/json_reader.h"
 #include "core/logging.h"
+#include "core/row_codec.h"
 
 namespace quetzalshelf::cluster {
 
@@ -13,7 +13,6 @@
 
 constexpr char kPrefix[] = "member/";
 constexpr int kFormat = 1;
-constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
 
 std::string MemberKey(const NodeId& node) {
   return kPrefix + node.value();
@@ -35,28 +34,21 @@
 }
 
 absl::StatusOr<MemberRow> DecodeMemberRow(const std::string& text) {
-  Findings findings;
-  const std::optional<Json> json = ParseJson(text, findings);
-  if (!json)
-    return findings.ToStatus();
-  JsonReader reader(*json, "", findings);
-  if (reader.RequireInt("format", 1, kMaxInt) > kFormat) {
-    return absl::FailedPreconditionError(
-        "the member row has a newer format; upgrade this node");
-  }
-  MemberRow row;
-  row.address.node = reader.RequireId<NodeId>("node");
-  row.address.host = reader.RequireString("host");
-  row.address.port = static_cast<int>(reader.RequireInt("port", 0, 65'535));
-  row.incarnation = reader.RequireId<IncarnationId>("incarnation");
-  row.region = RegionId(reader.RequireString("region"));
-  row.domain = DomainId(reader.RequireString("domain"));
-  row.leaving = reader.RequireString("state") == "leaving";
-  row.beat = static_cast<uint64_t>(reader.RequireInt("beat", 0, kMaxInt));
-  reader.Finish();
-  if (!findings.empty())
-    return findings.ToStatus();
-  return row;
+  return DecodeVersionedRow<MemberRow>(
+      "member row", text, kFormat, [](JsonReader& reader, Findings&) {
+        MemberRow row;
+        row.address.node = reader.RequireId<NodeId>("node");
+        row.address.host = reader.RequireString("host");
+        row.address.port =
+            static_cast<int>(reader.RequireInt("port", 0, 65'535));
+        row.incarnation = reader.RequireId<IncarnationId>("incarnation");
+        row.region = RegionId(reader.RequireString("region"));
+        row.domain = DomainId(reader.RequireString("domain"));
+        row.leaving = reader.RequireString("state") == "leaving";
+        row.beat =
+            static_cast<uint64_t>(reader.RequireInt("beat", 0, kMaxRowNumber));
+        return row;
+      });
 }
 
 Membership::Membership(Table& table,
--- a/servers/cluster/shard_lease.cc
+++ b/servers/cluster/shard_lease.cc
@@ -1,12 +1,12 @@
 #include "servers/cluster/shard_lease.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 #include <vector>
 
 #include "core/json_reader.h"
 #include "core/logging.h"
+#include "core/row_codec.h"
 #include "servers/cluster/rendezvous.h"
 
 namespace quetzalshelf::cluster {
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr int kFormat = 1;
-constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
 
 }  // namespace
 
@@ -33,27 +32,18 @@
 }
 
 absl::StatusOr<ShardRow> DecodeShardRow(const std::string& text) {
-  Findings findings;
-  const std::optional<Json> json = ParseJson(text, findings);
-  if (!json)
-    return findings.ToStatus();
-  JsonReader reader(*json, "", findings);
-  if (reader.RequireInt("format", 1, kMaxInt) > kFormat) {
-    return absl::FailedPreconditionError(
-        "the shard row has a newer format; upgrade this node");
-  }
-  ShardRow row;
-  row.owner = reader.RequireId<NodeId>("owner");
-  row.incarnation = reader.RequireId<IncarnationId>("incarnation");
-  row.epoch =
-      Epoch(static_cast<uint64_t>(reader.RequireInt("epoch", 1, kMaxInt)));
-  row.renewals =
-      static_cast<uint64_t>(reader.RequireInt("renewals", 0, kMaxInt));
-  row.handed_over = reader.RequireBool("handed_over");
-  reader.Finish();
-  if (!findings.empty())
-    return findings.ToStatus();
-  return row;
+  return DecodeVersionedRow<ShardRow>(
+      "shard row", text, kFormat, [](JsonReader& reader, Findings&) {
+        ShardRow row;
+        row.owner = reader.RequireId<NodeId>("owner");
+        row.incarnation = reader.RequireId<IncarnationId>("incarnation");
+        row.epoch = Epoch(static_cast<uint64_t>(
+            reader.RequireInt("epoch", 1, kMaxRowNumber)));
+        row.renewals = static_cast<uint64_t>(
+            reader.RequireInt("renewals", 0, kMaxRowNumber));
+        row.handed_over = reader.RequireBool("handed_over");
+        return row;
+      });
 }
 
 ShardLease::ShardLease(RegionId region,
--- a/servers/jobs/domain_watch.cc
+++ b/servers/jobs/domain_watch.cc
@@ -1,11 +1,10 @@
 #include "servers/jobs/domain_watch.h"
 
-#include <limits>
-#include <optional>
 #include <utility>
 
 #include "core/json_reader.h"
 #include "core/logging.h"
+#include "core/row_codec.h"
 
 namespace quetzalshelf::jobs {
 
@@ -13,7 +12,6 @@
 
 constexpr char kPrefix[] = "domain/";
 constexpr int kFormat = 1;
-constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
 // Far more failure domains than any deployment has.
 constexpr int kMaxRows = 1'000;
 
@@ -31,23 +29,14 @@
 }
 
 absl::StatusOr<DomainRow> DecodeDomainRow(const std::string& text) {
-  Findings findings;
-  const std::optional<Json> json = ParseJson(text, findings);
-  if (!json)
-    return findings.ToStatus();
-  JsonReader reader(*json, "", findings);
-  if (reader.RequireInt("format", 1, kMaxInt) > kFormat) {
-    return absl::FailedPreconditionError(
-        "the domain row has a newer format; upgrade this node");
-  }
-  DomainRow row;
-  row.in_service = reader.RequireBool("in_service");
-  row.settings = SettingsVersion(
-      static_cast<uint64_t>(reader.RequireInt("settings", 0, kMaxInt)));
-  reader.Finish();
-  if (!findings.empty())
-    return findings.ToStatus();
-  return row;
+  return DecodeVersionedRow<DomainRow>(
+      "domain row", text, kFormat, [](JsonReader& reader, Findings&) {
+        DomainRow row;
+        row.in_service = reader.RequireBool("in_service");
+        row.settings = SettingsVersion(static_cast<uint64_t>(
+            reader.RequireInt("settings", 0, kMaxRowNumber)));
+        return row;
+      });
 }
 
 DomainWatch::DomainWatch(Table& table, Duration period, OnChange on_change)
--- a/servers/jobs/job_record.cc
+++ b/servers/jobs/job_record.cc
@@ -1,15 +1,14 @@
 #include "servers/jobs/job_record.h"
 
 #include <array>
-#include <limits>
-#include <optional>
 #include <utility>
 
+#include "core/row_codec.h"
+
 namespace quetzalshelf::jobs {
 
 namespace {
 
-constexpr int64_t kMaxInt = std::numeric_limits<int64_t>::max();
 constexpr size_t kMaxPayload = 65'536;  // Bytes.
 
 template <typename Enum>
@@ -123,7 +122,7 @@
   job.urgency = ReadName(kUrgencies, reader, "urgency",
                          reader.OptionalString("urgency", "normal"));
   job.declared_run_time =
-      Duration(reader.OptionalInt("declared_run_ms", 0, kMaxInt, 0));
+      Duration(reader.OptionalInt("declared_run_ms", 0, kMaxRowNumber, 0));
   job.can_checkpoint = reader.OptionalBool("can_checkpoint", true);
   job.max_failures =
       static_cast<int>(reader.OptionalInt("max_failures", 1, 100, 3));
@@ -175,36 +174,26 @@
 }
 
 absl::StatusOr<JobRecord> DecodeJobRecord(const std::string& text) {
-  Findings findings;
-  const std::optional<Json> json = ParseJson(text, findings);
-  if (!json)
-    return findings.ToStatus();
-  JsonReader reader(*json, "", findings);
-  const int64_t format = reader.RequireInt("format", 1, kMaxInt);
-  if (format > kJobRecordFormat) {
-    return absl::FailedPreconditionError(
-        "job row has format " + std::to_string(format) +
-        ", but this version reads formats up to " +
-        std::to_string(kJobRecordFormat) + "; upgrade this node");
-  }
-  JobRecord record;
-  record.spec = ReadJobSpec(reader.RequireObject("spec"), reader.PathOf("spec"),
-                            findings);
-  record.order = static_cast<uint64_t>(reader.RequireInt("order", 0, kMaxInt));
-  record.state =
-      ReadName(kStates, reader, "state", reader.RequireString("state"));
-  record.attempt =
-      Attempt(static_cast<uint64_t>(reader.RequireInt("attempt", 0, kMaxInt)));
-  record.placement = ReadPlacement(reader);
-  record.guaranteed = reader.OptionalBool("guaranteed", false);
-  record.checkpoint =
-      Duration(reader.OptionalInt("checkpoint_ms", 0, kMaxInt, 0));
-  record.result = reader.OptionalString("result", "", 1'024);
-  record.detail = reader.OptionalString("detail", "", 4'096);
-  reader.Finish();
-  if (!findings.empty())
-    return findings.ToStatus();
-  return record;
+  return DecodeVersionedRow<JobRecord>(
+      "job row", text, kJobRecordFormat,
+      [](JsonReader& reader, Findings& findings) {
+        JobRecord record;
+        record.spec = ReadJobSpec(reader.RequireObject("spec"),
+                                  reader.PathOf("spec"), findings);
+        record.order =
+            static_cast<uint64_t>(reader.RequireInt("order", 0, kMaxRowNumber));
+        record.state =
+            ReadName(kStates, reader, "state", reader.RequireString("state"));
+        record.attempt = Attempt(static_cast<uint64_t>(
+            reader.RequireInt("attempt", 0, kMaxRowNumber)));
+        record.placement = ReadPlacement(reader);
+        record.guaranteed = reader.OptionalBool("guaranteed", false);
+        record.checkpoint =
+            Duration(reader.OptionalInt("checkpoint_ms", 0, kMaxRowNumber, 0));
+        record.result = reader.OptionalString("result", "", 1'024);
+        record.detail = reader.OptionalString("detail", "", 4'096);
+        return record;
+      });
 }
 
 std::string JobKey(const RegionId& region, const JobId& job) {
