--- a/bench/main/routing_bench.cc
+++ b/bench/main/routing_bench.cc
@@ -291,6 +291,7 @@
   const std::pair<const char*, PolicyKind> policies[] = {
       {"round-robin", PolicyKind::kRoundRobin},
       {"two-choices", PolicyKind::kTwoChoices},
+      {"faster-of-two", PolicyKind::kFasterOfTwo},
       {"least-loaded", PolicyKind::kLeastLoaded}};
   for (const auto& [name, kind] : policies)
     Print(options, name, Bench(options, kind).Run());
--- a/servers/routing/backend_directory.cc
+++ b/servers/routing/backend_directory.cc
@@ -5,6 +5,13 @@
 
 namespace quetzalshelf::routing {
 
+namespace {
+
+// Share of the newest answer in the moving average of answer times.
+constexpr double kAverageWeight = 0.1;
+
+}  // namespace
+
 BackendDirectory::BackendDirectory(DirectoryOptions options)
     : options_(options), outliers_(options.outliers) {}
 
@@ -39,6 +46,7 @@
 
 void BackendDirectory::RecordAnswer(const BackendId& backend,
                                     int free_slots,
+                                    Duration took,
                                     TimePoint now) {
   const auto it = servers_.find(backend);
   if (it == servers_.end())
@@ -49,6 +57,11 @@
   const int busy = server.entry.slots - free_slots;
   server.foreign_load = std::max(0, busy - server.in_flight);
   server.load_reported = now;
+  const auto millis = static_cast<double>(took.count());
+  server.answer_ms =
+      server.answer_ms == 0
+          ? millis
+          : server.answer_ms + kAverageWeight * (millis - server.answer_ms);
 }
 
 void BackendDirectory::RecordFull(const BackendId& backend, TimePoint now) {
@@ -72,7 +85,8 @@
   std::vector<Candidate> candidates;
   for (const auto& [id, server] : servers_) {
     if (MayTake(server, now))
-      candidates.push_back({id, server.entry.slots, LoadOf(server, now)});
+      candidates.push_back(
+          {id, server.entry.slots, LoadOf(server, now), server.answer_ms});
   }
   if (candidates.size() > 1) {
     std::erase_if(candidates,
--- a/servers/routing/backend_directory.h
+++ b/servers/routing/backend_directory.h
@@ -24,6 +24,8 @@
   BackendId backend;
   int slots = 0;
   int load = 0;  // Own requests in flight and the estimate of other nodes'.
+  // Moving average of the time that answers took; 0 before the first one.
+  double answer_ms = 0;
 };
 
 struct DirectoryOptions {
@@ -49,7 +51,11 @@
   void MarkLeaving(const BackendId& backend, TimePoint now);
 
   void RecordSent(const BackendId& backend);
-  void RecordAnswer(const BackendId& backend, int free_slots, TimePoint now);
+  // `took` is the time from sending the request to its answer.
+  void RecordAnswer(const BackendId& backend,
+                    int free_slots,
+                    Duration took,
+                    TimePoint now);
   void RecordFull(const BackendId& backend, TimePoint now);
   void RecordFailure(const BackendId& backend, TimePoint now);
 
@@ -68,6 +74,7 @@
     bool listed = true;
     int in_flight = 0;
     int foreign_load = 0;
+    double answer_ms = 0;
     TimePoint load_reported;
     TimePoint full_until;
     TimePoint leaving_until;
--- a/servers/routing/balancer_policy.cc
+++ b/servers/routing/balancer_policy.cc
@@ -21,6 +21,26 @@
   Random random_;
 };
 
+class FasterOfTwo : public BalancerPolicy {
+ public:
+  explicit FasterOfTwo(uint64_t seed) : random_(seed) {}
+
+  const Candidate& Pick(const std::vector<Candidate>& candidates) override {
+    const uint64_t n = candidates.size();
+    const Candidate& a = candidates[random_.Below(n)];
+    const Candidate& b = candidates[random_.Below(n)];
+    return Cost(b) < Cost(a) ? b : a;
+  }
+
+ private:
+  // A server without an answer yet counts as fast, so that it is tried.
+  static double Cost(const Candidate& candidate) {
+    return (candidate.load + 1) * candidate.answer_ms;
+  }
+
+  Random random_;
+};
+
 class LeastLoaded : public BalancerPolicy {
  public:
   explicit LeastLoaded(uint64_t seed) : random_(seed) {}
@@ -68,6 +88,8 @@
   switch (kind) {
     case PolicyKind::kTwoChoices:
       return std::make_unique<TwoChoices>(seed);
+    case PolicyKind::kFasterOfTwo:
+      return std::make_unique<FasterOfTwo>(seed);
     case PolicyKind::kLeastLoaded:
       return std::make_unique<LeastLoaded>(seed);
     case PolicyKind::kRoundRobin:
--- a/servers/routing/balancer_policy.h
+++ b/servers/routing/balancer_policy.h
@@ -20,10 +20,17 @@
   virtual const Candidate& Pick(const std::vector<Candidate>& candidates) = 0;
 };
 
-enum class PolicyKind { kTwoChoices, kLeastLoaded, kRoundRobin };
+enum class PolicyKind {
+  kTwoChoices,
+  kFasterOfTwo,
+  kLeastLoaded,
+  kRoundRobin,
+};
 
-// Two choices: of two random servers the less loaded one. Least loaded: ties
-// are broken at random. Round robin: the baseline that ignores load.
+// Two choices: of two random servers the less loaded one. Faster of two: of two
+// random servers the one with the smaller product of load and answer time.
+// Least loaded: ties are broken at random. Round robin: the baseline that
+// ignores load.
 std::unique_ptr<BalancerPolicy> MakeBalancerPolicy(PolicyKind kind,
                                                    uint64_t seed);
 
--- a/servers/routing/request_router.cc
+++ b/servers/routing/request_router.cc
@@ -221,6 +221,7 @@
   if (active.tries == 0)
     retry_budget_.RecordFirstTry();
   active.backend = backend;
+  active.sent = now;
   const int try_number = ++active.tries;
   directory_.RecordSent(backend);
   BackendRequest request;
@@ -263,7 +264,8 @@
                              const BackendReply& reply,
                              TimePoint now) {
   Active& active = active_.at(id);
-  directory_.RecordAnswer(active.backend, reply.free_slots, now);
+  directory_.RecordAnswer(active.backend, reply.free_slots, now - active.sent,
+                          now);
   if (reply.leaving)
     directory_.MarkLeaving(active.backend, now);
   admission_.Release(active.request.workspace);
--- a/servers/routing/request_router.h
+++ b/servers/routing/request_router.h
@@ -26,7 +26,7 @@
 struct RouterOptions {
   NodeId node;
   IncarnationId incarnation;
-  PolicyKind policy = PolicyKind::kTwoChoices;
+  PolicyKind policy = PolicyKind::kFasterOfTwo;
   uint64_t seed = 1;
   int max_tries = 3;
   RetryBudgetOptions retries;
@@ -77,6 +77,7 @@
     TicketId ticket;
     ReplyCallback done;
     TimePoint accepted;
+    TimePoint sent;          // Of the current try.
     BackendId backend;       // Set while sent.
     BackendId last_backend;  // Of the previous try.
     int tries = 0;
