Guard the interface between nodes with a shared secret

Cause: /internal/heartbeat and /internal/settings let everybody in. A forged heartbeat with a high epoch would make an owner stop renewing task leases during an outage of the store. Change: access/node_secret of the daemon's configuration, sent by HttpPeerPort and compared in constant time; without it the interface stays open, as documented.

--- a/drivers/peer/http_peer_port.cc
+++ b/drivers/peer/http_peer_port.cc
@@ -64,7 +64,7 @@
 void HttpPeerPort::Heartbeat(const PeerAddress& peer,
                              const PeerHeartbeat& heartbeat,
                              HeartbeatCallback done) {
-  HttpCall call = MakeCall(peer);
+  HttpCall call = MakeInternalCall(peer);
   call.method = "POST";
   call.target = kPeerHeartbeatPath;
   absl::StatusOr<std::string> body = EncodeJson(EncodePeerHeartbeat(heartbeat));
@@ -83,7 +83,7 @@
 
 void HttpPeerPort::FetchSettings(const PeerAddress& peer,
                                  SettingsCallback done) {
-  HttpCall call = MakeCall(peer);
+  HttpCall call = MakeInternalCall(peer);
   call.target = kPeerSettingsPath;
   caller_.Call(std::move(call),
                [done = std::move(done)](absl::StatusOr<HttpResponse> response) {
@@ -127,6 +127,13 @@
   });
 }
 
+HttpCall HttpPeerPort::MakeInternalCall(const PeerAddress& peer) const {
+  HttpCall call = MakeCall(peer);
+  if (!node_secret_.empty())
+    call.headers.push_back({kNodeSecretHeader, node_secret_});
+  return call;
+}
+
 HttpCall HttpPeerPort::MakeCall(const PeerAddress& peer) const {
   HttpCall call;
   call.host = peer.host;
--- a/drivers/peer/http_peer_port.h
+++ b/drivers/peer/http_peer_port.h
@@ -19,6 +19,9 @@
                NodeId self,
                Duration timeout);
 
+  // Sent with heartbeats and reads of settings; empty for none.
+  void SetNodeSecret(std::string secret) { node_secret_ = std::move(secret); }
+
   void Heartbeat(const PeerAddress& peer,
                  const PeerHeartbeat& heartbeat,
                  HeartbeatCallback done) override;
@@ -30,11 +33,14 @@
 
  private:
   HttpCall MakeCall(const PeerAddress& peer) const;
+  // A call of the interface between nodes.
+  HttpCall MakeInternalCall(const PeerAddress& peer) const;
 
   HttpCaller& caller_;
   TaskRunner& runner_;
   const NodeId self_;
   const Duration timeout_;
+  std::string node_secret_;
 };
 
 }  // namespace quetzalshelf
--- a/drivers/peer/peer_codec.h
+++ b/drivers/peer/peer_codec.h
@@ -16,6 +16,8 @@
 
 constexpr char kPeerHeartbeatPath[] = "/internal/heartbeat";  // POST
 constexpr char kPeerSettingsPath[] = "/internal/settings";    // GET
+// The secret that the nodes share, on calls of the two paths above.
+constexpr char kNodeSecretHeader[] = "X-Node-Secret";
 // The nodes that forwarded a call, separated by commas.
 constexpr char kForwardedNodeHeader[] = "X-Forwarded-Node";
 
--- a/main/daemon/api/internal_api.cc
+++ b/main/daemon/api/internal_api.cc
@@ -10,7 +10,9 @@
   server.Handle("POST", kPeerHeartbeatPath, [this](auto request, auto respond) {
     Heartbeat(request, respond);
   });
-  server.Handle("GET", kPeerSettingsPath, [this](auto, auto respond) {
+  server.Handle("GET", kPeerSettingsPath, [this](auto request, auto respond) {
+    if (!LetIn(request, respond))
+      return;
     auto text = settings_.ExportForPeer();
     if (!text.ok()) {
       respond(ErrorResponse(text.status()));
@@ -22,8 +24,19 @@
   });
 }
 
+bool InternalApi::LetIn(const HttpRequest& request,
+                        const Responder& respond) const {
+  if (secret_.size() == 0 || secret_.Matches(request.Header(kNodeSecretHeader)))
+    return true;
+  respond(ErrorResponse(
+      absl::UnauthenticatedError("the secret of the nodes is required")));
+  return false;
+}
+
 void InternalApi::Heartbeat(const HttpRequest& request,
                             const Responder& respond) {
+  if (!LetIn(request, respond))
+    return;
   Findings findings;
   const auto heartbeat = DecodePeerHeartbeat(request.body, findings);
   if (!heartbeat) {
--- a/main/daemon/api/internal_api.h
+++ b/main/daemon/api/internal_api.h
@@ -8,6 +8,7 @@
 
 #include "core/platform/peer_port.h"
 #include "drivers/http/http_server.h"
+#include "servers/settings/access_control.h"
 #include "servers/settings/settings_service.h"
 
 namespace quetzalshelf {
@@ -18,17 +19,24 @@
   // Takes a peer's heartbeat and gives the own one.
   using HeartbeatHandler = std::function<PeerHeartbeat(const PeerHeartbeat&)>;
 
-  // `settings` must outlive the server.
+  // `settings` and `secret` must outlive the server. With an empty secret every
+  // caller is let in.
   InternalApi(const settings::SettingsService& settings,
+              const settings::Secret& secret,
               HeartbeatHandler on_heartbeat)
-      : settings_(settings), on_heartbeat_(std::move(on_heartbeat)) {}
+      : settings_(settings),
+        secret_(secret),
+        on_heartbeat_(std::move(on_heartbeat)) {}
 
   void Register(HttpServer& server);
 
  private:
+  // Answers 401 itself when the caller does not know the secret.
+  bool LetIn(const HttpRequest& request, const Responder& respond) const;
   void Heartbeat(const HttpRequest& request, const Responder& respond);
 
   const settings::SettingsService& settings_;
+  const settings::Secret& secret_;
   const HeartbeatHandler on_heartbeat_;
 };
 
--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -147,8 +147,10 @@
                  [this] { return gate_.reachable(); }}),
       internal_api_(
           settings_,
+          config_.node_secret,
           [this](const auto& heartbeat) { return OnHeartbeat(heartbeat); }),
       tick_timer_(io) {
+  peers_.SetNodeSecret(config_.node_secret.Reveal());
   settings_.set_on_in_force([this](const auto& tree) { OnSettings(tree); });
   request_api_.Register(server_);
   job_api_.Register(server_);
--- a/main/daemon/daemon_config.cc
+++ b/main/daemon/daemon_config.cc
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr size_t kMaxFileSize = size_t{1} << 20;
+constexpr size_t kMinSecretBytes = 16;
 constexpr int64_t kMaxPort = 65'535;
 
 // A duration of the `timings` section.
@@ -196,6 +197,13 @@
         reader.OptionalBool("allow_anonymous", config_.standalone);
     config_.tokens = settings::ReadAccessTokens(
         reader.OptionalArray("tokens"), reader.PathOf("tokens"), findings_);
+    config_.node_secret =
+        settings::Secret(reader.OptionalString("node_secret"));
+    if (reader.Has("node_secret") &&
+        config_.node_secret.size() < kMinSecretBytes) {
+      reader.AddFinding("node_secret", "is too short",
+                        "use at least 16 characters, the same on all nodes");
+    }
     reader.Finish();
     if (config_.tokens.empty() && !config_.allow_anonymous)
       reader.AddFinding("tokens", "is missing, so that nobody has access",
--- a/main/daemon/daemon_config.h
+++ b/main/daemon/daemon_config.h
@@ -63,6 +63,8 @@
   LogLevel log_level = LogLevel::kInfo;
   bool allow_anonymous = false;
   std::vector<settings::AccessToken> tokens;
+  // Shared by all nodes; guards the interface between them when it is set.
+  settings::Secret node_secret;
 };
 
 // What the command line asks for.
--- a/servers/settings/access_control.h
+++ b/servers/settings/access_control.h
@@ -22,6 +22,8 @@
   size_t size() const { return text_.size(); }
   // Takes the same time whatever `text` of a given length holds.
   bool Matches(std::string_view text) const;
+  // For the one place that sends the secret; never for logs or errors.
+  const std::string& Reveal() const { return text_; }
 
  private:
   std::string text_;
--- a/tests/main/daemon_fixture.cc
+++ b/tests/main/daemon_fixture.cc
@@ -11,8 +11,8 @@
 
 constexpr Duration kCallTimeout{60'000};
 
-DaemonConfig Config() {
-  const std::string file =
+DaemonConfig Config(const std::string& node_secret) {
+  std::string file =
       "standalone: true\n"
       "node: {id: n1, region: central, failure_domain: cartago}\n"
       "listen: {host: 127.0.0.1, port: 0}\n"
@@ -28,6 +28,8 @@
       ", scopes: [/]}\n"
       "    - {name: calle, token: " +
       kCalleToken + ", scopes: [teams/calle]}\n";
+  if (!node_secret.empty())
+    file += "  node_secret: " + node_secret + "\n";
   auto line = ParseDaemonCommandLine(
       {"--config", "d.yaml"},
       [&file](const std::string&) -> absl::StatusOr<std::string> {
@@ -46,9 +48,11 @@
 
 }  // namespace
 
-DaemonFixture::DaemonFixture()
+DaemonFixture::DaemonFixture(const std::string& node_secret)
     : caller_(std::make_unique<HttpCaller>(io_, metrics_, HttpCallerOptions())),
-      daemon_(std::make_unique<Daemon>(io_, Config(), IncarnationId("n1-1"))) {
+      daemon_(std::make_unique<Daemon>(io_,
+                                       Config(node_secret),
+                                       IncarnationId("n1-1"))) {
   InitLogging({LogFormat::kText, LogLevel::kError, "n1"});
   REQUIRE(daemon_->Start().ok());
   WaitUntil("/v1/status", {{"ready", true}});
--- a/tests/main/daemon_fixture.h
+++ b/tests/main/daemon_fixture.h
@@ -28,7 +28,8 @@
 // plaza and calle exist, and the job j1 of plaza runs for a day.
 class DaemonFixture {
  public:
-  DaemonFixture();
+  // Without a secret, every caller may use the interface between the nodes.
+  explicit DaemonFixture(const std::string& node_secret = "");
   ~DaemonFixture();
 
   int port() const { return daemon_->port(); }
--- a/tests/main/http_interface_test.cc
+++ b/tests/main/http_interface_test.cc
@@ -207,6 +207,13 @@
   });
 }
 
+// Guards against a stranger that reads the settings or forges a heartbeat.
+TEST_CASE("The interface between nodes asks for their secret") {
+  DaemonFixture daemon("nobody-else-knows-this");
+  CheckRefused(daemon, {"POST", "/internal/heartbeat", "{", 401});
+  CheckRefused(daemon, {"GET", "/internal/settings", "", 401});
+}
+
 // Guards against a body that takes a node's memory before it is refused.
 TEST_CASE("Oversized bodies are refused at every endpoint that takes one") {
   DaemonFixture daemon;
--- a/tests/standins/http_ports_test.cc
+++ b/tests/standins/http_ports_test.cc
@@ -397,15 +397,19 @@
         Findings findings;
         auto heartbeat = DecodePeerHeartbeat(request.body, findings);
         REQUIRE(heartbeat.has_value());
+        CHECK(request.Header(kNodeSecretHeader) == "shared by the nodes");
         heartbeat->node = NodeId("n3");
         respond({.body = EncodePeerHeartbeat(*heartbeat).dump()});
       });
-  harness.server.Handle("GET", kPeerSettingsPath,
-                        [](const HttpRequest&, const Responder& respond) {
-                          respond({.body = R"({"version":3})"});
-                        });
+  harness.server.Handle(
+      "GET", kPeerSettingsPath,
+      [](const HttpRequest& request, const Responder& respond) {
+        CHECK(request.Header(kNodeSecretHeader) == "shared by the nodes");
+        respond({.body = R"({"version":3})"});
+      });
   REQUIRE(harness.server.Start().ok());
   HttpPeerPort port(harness.caller, harness.runner, NodeId("n2"), kLongTimeout);
+  port.SetNodeSecret("shared by the nodes");
   const PeerAddress peer{NodeId("n3"), "127.0.0.1", harness.server.port()};
   PeerHeartbeat own;
   own.node = NodeId("n2");
