--- a/drivers/worker/in_process_workers.cc
+++ b/drivers/worker/in_process_workers.cc
@@ -1,4 +1,4 @@
-#include "standins/worker/in_process_workers.h"
+#include "drivers/worker/in_process_workers.h"
 
 #include <utility>
 
--- a/drivers/worker/in_process_workers.h
+++ b/drivers/worker/in_process_workers.h
@@ -9,7 +9,7 @@
 
 #include "core/platform/worker_port.h"
 #include "drivers/clock/task_runner.h"
-#include "standins/worker/worker_model.h"
+#include "drivers/worker/worker_model.h"
 
 namespace quetzalshelf {
 
--- a/drivers/worker/worker_model.cc
+++ b/drivers/worker/worker_model.cc
@@ -1,4 +1,4 @@
-#include "standins/worker/worker_model.h"
+#include "drivers/worker/worker_model.h"
 
 #include <algorithm>
 #include <set>
--- a/main/daemon/embedded_ports.cc
+++ b/main/daemon/embedded_ports.cc
@@ -4,8 +4,8 @@
 #include "drivers/platform/memory_object_store.h"
 #include "drivers/platform/memory_table.h"
 #include "drivers/platform/memory_vm_list.h"
+#include "drivers/worker/in_process_workers.h"
 #include "main/daemon/platform_ports.h"
-#include "standins/worker/in_process_workers.h"
 
 namespace quetzalshelf {
 
--- a/servers/jobs/gang_recovery.cc
+++ b/servers/jobs/gang_recovery.cc
@@ -43,7 +43,7 @@
          std::all_of(placement.begin(), placement.end(),
                      [&](const WorkerId& worker) {
                        return deps_.pool.HeldAtStart(run.key(), worker) &&
-                              !deps_.pool.HasStrays(worker);
+                              !deps_.pool.HoldsUnaccounted(worker);
                      });
 }
 
--- a/servers/jobs/job_service_recovery.cc
+++ b/servers/jobs/job_service_recovery.cc
@@ -59,7 +59,7 @@
     if (!executor_.AnsweredEverywhere(job))
       return false;
     for (const WorkerId& worker : record.placement) {
-      if (pool_.HasStrays(worker))
+      if (pool_.HoldsUnaccounted(worker))
         return false;
     }
   }
@@ -80,12 +80,13 @@
   for (const scheduling::Worker& worker : pool_.ListedWorkers()) {
     add(scheduler_->AddWorker(worker, now));
     const WorkerSession* session = pool_.FindSession(worker.id);
-    if (session->up() && !pool_.HasStrays(worker.id)) {
+    if (session->up() && !pool_.HoldsUnaccounted(worker.id)) {
       added_.insert(worker.id);
       continue;
     }
     // The scheduler must know the worker, or it would refuse jobs that fit
-    // only with it. It comes back when it answers and holds no stray gang.
+    // only with it. It comes back when it answers and holds no unaccounted
+    // gang.
     add(scheduler_->WorkerLost(worker.id, now));
   }
   phase_ = Phase::kServing;
--- a/servers/jobs/worker_pool.cc
+++ b/servers/jobs/worker_pool.cc
@@ -38,7 +38,7 @@
   bool listed = true;
   std::set<GangKey> held;
   // Gangs to stop, with the time of the next try.
-  std::map<GangKey, TimePoint> strays;
+  std::map<GangKey, TimePoint> unaccounted;
   // Gangs that hold no capacity any more but must be forgotten.
   std::map<GangKey, TimePoint> releases;
 };
@@ -81,7 +81,7 @@
       continue;
     }
     if (member.session.up() && ownership_.MayAct(now))
-      StopStrays(member, now);
+      StopUnaccounted(member, now);
     ++it;
   }
 }
@@ -116,15 +116,16 @@
          it->second->held.contains(gang);
 }
 
-bool WorkerPool::HasStrays(const WorkerId& worker) const {
+bool WorkerPool::HoldsUnaccounted(const WorkerId& worker) const {
   auto it = members_.find(worker);
-  return it != members_.end() && !it->second->strays.empty();
+  return it != members_.end() && !it->second->unaccounted.empty();
 }
 
 bool WorkerPool::AllUpAndClean() const {
   return std::all_of(members_.begin(), members_.end(), [](const auto& item) {
     const Member& member = *item.second;
-    return !member.listed || (member.session.up() && member.strays.empty());
+    return !member.listed ||
+           (member.session.up() && member.unaccounted.empty());
   });
 }
 
@@ -139,27 +140,27 @@
 
 void WorkerPool::OnUp(Member& member, const std::vector<GangKey>& held) {
   member.held = {held.begin(), held.end()};
-  member.strays.clear();
+  member.unaccounted.clear();
   member.releases.clear();
   for (const GangKey& gang : held) {
     if (!delegate_.Accounts(gang, member.worker.id))
-      member.strays.emplace(gang, TimePoint());
+      member.unaccounted.emplace(gang, TimePoint());
   }
-  if (member.strays.empty())
+  if (member.unaccounted.empty())
     delegate_.OnWorkerUsable(member.worker);
   else
-    StopStrays(member, clock_.Now());
+    StopUnaccounted(member, clock_.Now());
 }
 
 void WorkerPool::OnDown(Member& member) {
   member.held.clear();
-  member.strays.clear();
+  member.unaccounted.clear();
   member.releases.clear();
   delegate_.OnWorkerDown(member.worker.id);
 }
 
-void WorkerPool::StopStrays(Member& member, TimePoint now) {
-  for (auto* gangs : {&member.strays, &member.releases}) {
+void WorkerPool::StopUnaccounted(Member& member, TimePoint now) {
+  for (auto* gangs : {&member.unaccounted, &member.releases}) {
     for (auto& [gang, next_try] : *gangs) {
       if (now < next_try)
         continue;
@@ -172,15 +173,15 @@
                 [this, worker = member.worker.id, key = gang,
                  alive = std::weak_ptr(alive_)](const absl::Status& status) {
                   if (!alive.expired())
-                    OnStrayStopped(worker, key, status);
+                    OnUnaccountedStopped(worker, key, status);
                 });
     }
   }
 }
 
-void WorkerPool::OnStrayStopped(const WorkerId& worker,
-                                const GangKey& gang,
-                                const absl::Status& status) {
+void WorkerPool::OnUnaccountedStopped(const WorkerId& worker,
+                                      const GangKey& gang,
+                                      const absl::Status& status) {
   auto it = members_.find(worker);
   if (it == members_.end())
     return;
@@ -192,9 +193,9 @@
     return;
   Member& member = *it->second;
   member.releases.erase(gang);
-  if (member.strays.erase(gang) == 0 || !member.strays.empty())
+  if (member.unaccounted.erase(gang) == 0 || !member.unaccounted.empty())
     return;
-  LOG(INFO) << "worker " << worker << " holds no stray gang any more";
+  LOG(INFO) << "worker " << worker << " holds no unaccounted gang any more";
   delegate_.OnWorkerUsable(member.worker);
 }
 
--- a/servers/jobs/worker_pool.h
+++ b/servers/jobs/worker_pool.h
@@ -30,7 +30,7 @@
   Duration stop_retry{1'000};
 };
 
-// A worker is usable once it has answered and holds no stray gang.
+// A worker is usable once it has answered and holds no unaccounted gang.
 class WorkerPool {
  public:
   // Calls come from Tick or from a callback of the port.
@@ -67,8 +67,8 @@
   const scheduling::Worker* FindWorker(const WorkerId& worker) const;
   // Whether the worker's last first answer named the gang.
   bool HeldAtStart(const GangKey& gang, const WorkerId& worker) const;
-  bool HasStrays(const WorkerId& worker) const;
-  // Whether every listed worker has answered and holds no stray gang.
+  bool HoldsUnaccounted(const WorkerId& worker) const;
+  // Whether every listed worker has answered and holds no unaccounted gang.
   bool AllUpAndClean() const;
   std::vector<scheduling::Worker> ListedWorkers() const;
   size_t size() const { return members_.size(); }
@@ -79,10 +79,10 @@
 
   void OnUp(Member& member, const std::vector<GangKey>& held);
   void OnDown(Member& member);
-  void StopStrays(Member& member, TimePoint now);
-  void OnStrayStopped(const WorkerId& worker,
-                      const GangKey& gang,
-                      const absl::Status& status);
+  void StopUnaccounted(Member& member, TimePoint now);
+  void OnUnaccountedStopped(const WorkerId& worker,
+                            const GangKey& gang,
+                            const absl::Status& status);
 
   WorkerPort& port_;
   const Clock& clock_;
--- a/servers/scheduling/probation.cc
+++ b/servers/scheduling/probation.cc
@@ -82,7 +82,7 @@
   workers_.erase(worker);
 }
 
-void Probation::Parole(WorkerIndex worker) {
+void Probation::EndWithoutProbe(WorkerIndex worker) {
   WorkerRecord& record = workers_[worker];
   record.failed.clear();
   record.suspect = false;
--- a/servers/scheduling/probation.h
+++ b/servers/scheduling/probation.h
@@ -44,7 +44,7 @@
   void End(WorkerIndex worker);
   // Ends probation without a probe: the evidence is dropped but the next
   // probation is longer.
-  void Parole(WorkerIndex worker);
+  void EndWithoutProbe(WorkerIndex worker);
   TimePoint ProbeTime(WorkerIndex worker) const;
   Duration Interval(WorkerIndex worker) const;
   std::vector<WorkerIndex> Suspects() const;
--- a/servers/scheduling/shape_scheduler_workers.cc
+++ b/servers/scheduling/shape_scheduler_workers.cc
@@ -166,7 +166,7 @@
     const Duration waited = now - probation_.ProbeTime(worker);
     if (waited < probation_.Interval(worker) * kIntervalsWithoutProbe)
       continue;
-    probation_.Parole(worker);
+    probation_.EndWithoutProbe(worker);
     Clear(worker);
   }
 }
--- a/standins/worker/worker_service.h
+++ b/standins/worker/worker_service.h
@@ -8,7 +8,7 @@
 
 #include "core/time.h"
 #include "drivers/http/http_server.h"
-#include "standins/worker/worker_model.h"
+#include "drivers/worker/worker_model.h"
 
 namespace quetzalshelf {
 
--- a/tests/drivers/worker_model_test.cc
+++ b/tests/drivers/worker_model_test.cc
@@ -1,9 +1,9 @@
-#include "standins/worker/worker_model.h"
+#include "drivers/worker/worker_model.h"
 
 #include <doctest/doctest.h>
 
 #include "drivers/clock/manual_task_runner.h"
-#include "standins/worker/in_process_workers.h"
+#include "drivers/worker/in_process_workers.h"
 
 namespace quetzalshelf {
 namespace {
--- a/tests/jobs/job_world.h
+++ b/tests/jobs/job_world.h
@@ -16,9 +16,9 @@
 #include "drivers/clock/manual_task_runner.h"
 #include "drivers/platform/memory_object_store.h"
 #include "drivers/platform/memory_table.h"
+#include "drivers/worker/in_process_workers.h"
 #include "servers/cluster/store_gate.h"
 #include "servers/jobs/job_service.h"
-#include "standins/worker/in_process_workers.h"
 #include "tests/jobs/recording_port.h"
 
 namespace quetzalshelf::jobs {
