--- /dev/null
+++ b/drivers/http/event_http_server.cc
@@ -0,0 +1,324 @@
+#include "drivers/http/event_http_server.h"
+
+#include <array>
+#include <set>
+#include <utility>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include "core/logging.h"
+#include "drivers/http/http_text.h"
+
+namespace quetzalshelf {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t kReadBytes = 8192;
+constexpr int kBadRequest = 400;
+constexpr int kPayloadTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+// Pause of accepting after a failure such as a lack of descriptors.
+constexpr Duration kAcceptRetry{100};
+
+int StatusOf(HttpStreamParser::Error error) {
+  switch (error) {
+    case HttpStreamParser::Error::kHeaderTooLarge:
+      return kHeaderTooLarge;
+    case HttpStreamParser::Error::kBodyTooLarge:
+      return kPayloadTooLarge;
+    case HttpStreamParser::Error::kMalformed:
+    case HttpStreamParser::Error::kNone:
+      break;
+  }
+  return kBadRequest;
+}
+
+}  // namespace
+
+class EventHttpServer::Impl
+    : public std::enable_shared_from_this<EventHttpServer::Impl> {
+ public:
+  Impl(asio::io_context& io, EventHttpServerOptions options, Handler handler)
+      : io_(io),
+        options_(std::move(options)),
+        handler_(std::move(handler)),
+        acceptor_(io),
+        accept_timer_(io) {}
+
+  absl::Status Start();
+  void Shutdown();
+  void BeginDrain(Duration linger);
+
+  int port() const { return port_; }
+  int in_flight() const { return in_flight_; }
+  int connections() const { return static_cast<int>(connections_.size()); }
+
+ private:
+  class Connection;
+
+  void Accept();
+
+  asio::io_context& io_;
+  EventHttpServerOptions options_;
+  Handler handler_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  std::set<std::shared_ptr<Connection>> connections_;
+  int port_ = 0;
+  int in_flight_ = 0;
+  bool draining_ = false;
+};
+
+// One connection: reads a request, waits for its answer, writes it, and reads
+// the next one.
+class EventHttpServer::Impl::Connection
+    : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(Impl& server, tcp::socket socket)
+      : server_(server.weak_from_this()),
+        socket_(std::move(socket)),
+        timer_(server.io_),
+        parser_(HttpMessageKind::kRequest, server.options_.limits),
+        idle_timeout_(server.options_.idle_timeout),
+        request_timeout_(server.options_.request_timeout) {}
+
+  void Run() {
+    Arm(idle_timeout_);
+    Read();
+  }
+
+  void Close() {
+    if (closed_)
+      return;
+    closed_ = true;
+    asio::error_code ec;
+    timer_.cancel();
+    socket_.close(ec);
+    if (const auto server = server_.lock())
+      server->connections_.erase(shared_from_this());
+  }
+
+  // Closes an idle connection after `linger`.
+  void BeginDrain(Duration linger) {
+    idle_timeout_ = linger;
+    if (!busy_ && !parser_.started())
+      Arm(linger);
+  }
+
+ private:
+  void Arm(Duration timeout) {
+    timer_.expires_after(timeout);
+    timer_.async_wait([self = shared_from_this()](const asio::error_code& ec) {
+      if (!ec && !self->busy_)
+        self->Close();
+    });
+  }
+
+  void Read() {
+    socket_.async_read_some(
+        asio::buffer(buf_),
+        [self = shared_from_this()](const asio::error_code& ec, size_t n) {
+          self->OnRead(ec, n);
+        });
+  }
+
+  void OnRead(const asio::error_code& ec, size_t n) {
+    if (closed_)
+      return;
+    if (ec) {
+      Close();
+      return;
+    }
+    pending_.append(buf_.data(), n);
+    if (!busy_)
+      Parse();
+  }
+
+  void Parse() {
+    const bool was_started = parser_.started();
+    pending_.erase(0, parser_.Feed(pending_));
+    if (parser_.error() != HttpStreamParser::Error::kNone) {
+      Write({.status = StatusOf(parser_.error())}, false);
+      return;
+    }
+    if (!parser_.done()) {
+      if (!was_started && parser_.started())
+        Arm(request_timeout_);
+      Read();
+      return;
+    }
+    Dispatch();
+  }
+
+  void Dispatch() {
+    const auto server = server_.lock();
+    if (!server) {
+      Close();
+      return;
+    }
+    HttpRequest request;
+    request.method = parser_.method();
+    ParseTarget(parser_.target(), request);
+    request.headers = std::move(parser_.headers());
+    request.body = std::move(parser_.body());
+    const bool keep_alive = parser_.keep_alive();
+    parser_.Reset();
+    busy_ = true;
+    ++server->in_flight_;
+    server->handler_(std::move(request),
+                     [self = shared_from_this(), keep_alive,
+                      answered = false](const HttpResponse& response) mutable {
+                       if (std::exchange(answered, true))
+                         return;
+                       self->OnAnswer(response, keep_alive);
+                     });
+  }
+
+  void OnAnswer(const HttpResponse& response, bool keep_alive) {
+    const auto server = server_.lock();
+    if (server)
+      --server->in_flight_;
+    if (!server || closed_)
+      return;
+    Write(response, keep_alive && !server->draining_);
+  }
+
+  void Write(const HttpResponse& response, bool keep_alive) {
+    busy_ = true;
+    text_ = SerializeResponse(response, keep_alive);
+    asio::async_write(socket_, asio::buffer(text_),
+                      [self = shared_from_this(), keep_alive](
+                          const asio::error_code& ec, size_t) {
+                        self->OnWritten(ec, keep_alive);
+                      });
+  }
+
+  void OnWritten(const asio::error_code& ec, bool keep_alive) {
+    if (closed_)
+      return;
+    if (ec || !keep_alive) {
+      asio::error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      Close();
+      return;
+    }
+    busy_ = false;
+    Arm(idle_timeout_);
+    Parse();
+  }
+
+  std::weak_ptr<Impl> server_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  HttpStreamParser parser_;
+  std::array<char, kReadBytes> buf_;
+  std::string pending_;
+  std::string text_;
+  Duration idle_timeout_;
+  Duration request_timeout_;
+  bool busy_ = false;
+  bool closed_ = false;
+};
+
+absl::Status EventHttpServer::Impl::Start() {
+  asio::error_code ec;
+  const auto address = asio::ip::make_address(options_.host, ec);
+  if (ec)
+    return absl::InvalidArgumentError("not an IP number: " + options_.host);
+  const tcp::endpoint endpoint(address,
+                               static_cast<asio::ip::port_type>(options_.port));
+  acceptor_.open(endpoint.protocol(), ec);
+  if (!ec)
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    acceptor_.bind(endpoint, ec);
+  if (!ec)
+    acceptor_.listen(asio::socket_base::max_listen_connections, ec);
+  const std::string place =
+      options_.host + ":" + std::to_string(options_.port) + ": ";
+  if (ec == asio::error::address_in_use)
+    return absl::AlreadyExistsError(place + ec.message());
+  if (ec)
+    return absl::UnavailableError(place + ec.message());
+  port_ = acceptor_.local_endpoint().port();
+  Accept();
+  return absl::OkStatus();
+}
+
+void EventHttpServer::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](const asio::error_code& ec,
+                                                     tcp::socket socket) {
+    if (ec == asio::error::operation_aborted || !self->acceptor_.is_open())
+      return;
+    if (ec) {
+      LOG(WARNING) << "cannot accept a connection: " << ec.message();
+      self->accept_timer_.expires_after(kAcceptRetry);
+      self->accept_timer_.async_wait([self](const asio::error_code& failed) {
+        if (!failed)
+          self->Accept();
+      });
+      return;
+    }
+    if (self->connections() < self->options_.connection_limit) {
+      asio::error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      const auto connection =
+          std::make_shared<Connection>(*self, std::move(socket));
+      self->connections_.insert(connection);
+      connection->Run();
+    }
+    self->Accept();
+  });
+}
+
+void EventHttpServer::Impl::BeginDrain(Duration linger) {
+  draining_ = true;
+  options_.idle_timeout = linger;
+  for (const auto& it : connections_)
+    it->BeginDrain(linger);
+}
+
+void EventHttpServer::Impl::Shutdown() {
+  asio::error_code ec;
+  acceptor_.close(ec);
+  accept_timer_.cancel();
+  const auto connections = std::exchange(connections_, {});
+  for (const auto& it : connections)
+    it->Close();
+}
+
+EventHttpServer::EventHttpServer(asio::io_context& io,
+                                 EventHttpServerOptions options,
+                                 Handler handler)
+    : impl_(
+          std::make_shared<Impl>(io, std::move(options), std::move(handler))) {}
+
+EventHttpServer::~EventHttpServer() {
+  impl_->Shutdown();
+}
+
+absl::Status EventHttpServer::Start() {
+  return impl_->Start();
+}
+
+int EventHttpServer::port() const {
+  return impl_->port();
+}
+
+void EventHttpServer::BeginDrain(Duration linger) {
+  impl_->BeginDrain(linger);
+}
+
+int EventHttpServer::requests_in_flight() const {
+  return impl_->in_flight();
+}
+
+int EventHttpServer::connections() const {
+  return impl_->connections();
+}
+
+}  // namespace quetzalshelf
--- /dev/null
+++ b/main/daemon/entry_node.cc
@@ -0,0 +1,250 @@
+#include "main/daemon/entry_node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/logging.h"
+
+namespace quetzalshelf {
+
+namespace {
+
+// Period of the timers of a node; a leader's orders go out without waiting.
+constexpr Duration kTick{25};
+// A peer in the same region answers a connection within milliseconds; the
+// first packet of a connection is repeated after a second.
+constexpr Duration kConnectTimeout{500};
+constexpr Duration kMaxIdle{20'000};
+constexpr int kIdleStoreConnections = 8;
+constexpr int kIdleWorkerConnections = 4;
+constexpr size_t kHeaderBytes = 16'384;
+constexpr size_t kBodyBytes = 262'144;
+// Descriptors that are not for callers: files, the store and workers.
+constexpr int kReservedDescriptors = 1'200;
+constexpr int kMinConnections = 100;
+constexpr Duration kIdleTimeout{15'000};
+constexpr Duration kRequestTimeout{3'000};
+constexpr int kInternalConnections = 16;
+// After a stop signal: callers are sent elsewhere after two probes, one second
+// apart, have failed.
+constexpr Duration kStopLinger{2'500};
+// Left of the grace for the end of the process.
+constexpr Duration kStopMargin{1'200};
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+
+EventHttpClientOptions ClientOptions(int idle_per_destination) {
+  return {.connect_timeout = kConnectTimeout,
+          .max_idle = kMaxIdle,
+          .max_idle_per_destination = idle_per_destination,
+          .max_header_bytes = kHeaderBytes};
+}
+
+EventHttpServerOptions ServerOptions(const std::string& host,
+                                     int port,
+                                     int connections) {
+  return {.host = host,
+          .port = port,
+          .connection_limit = connections,
+          .limits = {kHeaderBytes, kBodyBytes},
+          .idle_timeout = kIdleTimeout,
+          .request_timeout = kRequestTimeout};
+}
+
+}  // namespace
+
+struct EntryNode::Leadership {
+  std::unique_ptr<batch::Dispatcher> dispatcher;
+  std::unique_ptr<platform::WorkerWatch> worker_watch;
+  Epoch epoch;
+  bool deposed = false;
+  std::string reason;
+};
+
+EntryNode::EntryNode(asio::io_context& io,
+                     const platform::EntrySettings& settings,
+                     uint64_t seed)
+    : io_(io),
+      settings_(settings),
+      seed_(seed),
+      store_client_(io, ClientOptions(kIdleStoreConnections)),
+      worker_client_(io, ClientOptions(kIdleWorkerConnections)),
+      store_(store_client_, settings.store),
+      workers_(worker_client_),
+      operator_watch_(store_, clock_, site_, seed),
+      lease_(store_,
+             clock_,
+             {.node = settings.node,
+              .incarnation = IncarnationId(settings.node.value() + "-" +
+                                           std::to_string(seed))},
+             seed + 1),
+      control_(
+          store_,
+          clock_,
+          {.table = batch::kControlTable, .partition = batch::kLeaderPartition},
+          [this](const std::vector<StoreRow>& rows) {
+            lease_.OnRows(rows, clock_.Now());
+          },
+          [this](const std::vector<StoreRow>& rows) {
+            lease_.OnRows(rows, clock_.Now());
+          },
+          seed + 2),
+      desk_(store_,
+            clock_,
+            site_,
+            load_,
+            {.config_trust = settings.revoke_limit * 56 / 100}),
+      caller_api_(desk_, clock_),
+      caller_server_(io,
+                     ServerOptions(settings.callers.host,
+                                   settings.callers.port,
+                                   std::max(kMinConnections,
+                                            settings.max_descriptors -
+                                                kReservedDescriptors)),
+                     [this](const HttpRequest& request,
+                            const EventHttpServer::Reply& reply) {
+                       caller_api_.Handle(request, reply);
+                     }),
+      readiness_server_(
+          io,
+          ServerOptions(settings.readiness.host,
+                        settings.readiness.port,
+                        kInternalConnections),
+          [this](const HttpRequest&, const EventHttpServer::Reply& reply) {
+            HandleReadiness(reply);
+          }),
+      metrics_server_(
+          io,
+          ServerOptions(settings.callers.host,
+                        settings.metrics_port,
+                        kInternalConnections),
+          [this](const HttpRequest&, const EventHttpServer::Reply& reply) {
+            HandleMetrics(reply);
+          }),
+      timer_(io) {
+  lease_.set_report_source([this] {
+    return leadership_
+               ? batch::EncodeLoadReport(leadership_->dispatcher->Report())
+               : std::string();
+  });
+}
+
+EntryNode::~EntryNode() = default;
+
+absl::Status EntryNode::Start() {
+  for (EventHttpServer* const it :
+       {&caller_server_, &readiness_server_, &metrics_server_}) {
+    if (absl::Status status = it->Start(); !status.ok())
+      return status;
+  }
+  LOG(INFO) << "node started: domain=" << settings_.domain;
+  OnTick();
+  return absl::OkStatus();
+}
+
+void EntryNode::Stop(std::function<void()> done) {
+  if (stopped_)
+    return;
+  LOG(INFO) << "stop requested: in_flight="
+            << caller_server_.requests_in_flight();
+  stopped_ = std::move(done);
+  stop_began_ = clock_.Now();
+  caller_server_.BeginDrain(kStopLinger);
+  if (leadership_)
+    leadership_->dispatcher->Retire();
+  lease_.Release(stop_began_);
+}
+
+void EntryNode::ArmTimer() {
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const asio::error_code& ec) {
+    if (!ec)
+      OnTick();
+  });
+}
+
+void EntryNode::OnTick() {
+  const TimePoint now = clock_.Now();
+  operator_watch_.Tick(now);
+  control_.Tick(now);
+  lease_.Tick(now, control_.steady_since(), control_.confirmed_at());
+  load_.Update(lease_.report());
+  TickLeadership(now);
+  if (stopped_)
+    TickStop(now);
+  ArmTimer();
+}
+
+void EntryNode::TickLeadership(TimePoint now) {
+  if (leadership_ && leadership_->deposed) {
+    lease_.StepDown(leadership_->reason);
+    leadership_.reset();
+  }
+  // A leader that is stopping goes on renewing leases until it is deposed.
+  if (leadership_ && !stopped_ &&
+      (!lease_.is_leader() || lease_.proof().epoch != leadership_->epoch))
+    leadership_.reset();
+  if (!leadership_ && lease_.is_leader()) {
+    leadership_ = std::make_unique<Leadership>();
+    Leadership* const leadership = leadership_.get();
+    leadership->epoch = lease_.proof().epoch;
+    leadership->dispatcher = std::make_unique<batch::Dispatcher>(
+        store_, workers_, clock_, site_, metrics_, lease_.proof(),
+        [leadership](const std::string& reason) {
+          leadership->deposed = true;
+          leadership->reason = reason;
+        },
+        seed_ + leadership->epoch.value());
+    leadership->worker_watch = std::make_unique<platform::WorkerWatch>(
+        store_, clock_, *this, seed_ + 3);
+  }
+  if (!leadership_)
+    return;
+  leadership_->worker_watch->Tick(now);
+  leadership_->dispatcher->ConfirmWorkers(
+      leadership_->worker_watch->confirmed_at());
+  leadership_->dispatcher->Tick(now);
+}
+
+void EntryNode::TickStop(TimePoint now) {
+  const Duration waited = now - stop_began_;
+  const bool idle = caller_server_.requests_in_flight() == 0 &&
+                    caller_server_.connections() == 0;
+  const bool over = waited >= settings_.stop_grace - kStopMargin;
+  if (!over && (!idle || waited < kStopLinger))
+    return;
+  LOG(INFO) << "node stopped: after_ms=" << waited.count()
+            << " in_flight=" << caller_server_.requests_in_flight();
+  stopped_();
+}
+
+void EntryNode::HandleReadiness(const EventHttpServer::Reply& reply) {
+  HttpResponse response;
+  const bool ready = !stopped_ && desk_.IsReady(clock_.Now());
+  response.status = ready ? kOk : kServiceUnavailable;
+  reply(response);
+}
+
+void EntryNode::HandleMetrics(const EventHttpServer::Reply& reply) {
+  HttpResponse response;
+  response.content_type = "text/plain";
+  response.body = metrics_.Expose();
+  reply(response);
+}
+
+void EntryNode::OnWorkers(const std::vector<batch::WorkerEntry>& entries) {
+  if (leadership_)
+    leadership_->dispatcher->OnWorkers(entries, clock_.Now());
+}
+
+void EntryNode::OnWorker(const batch::WorkerEntry& entry) {
+  if (leadership_)
+    leadership_->dispatcher->OnWorker(entry, clock_.Now());
+}
+
+void EntryNode::OnWorkerUnlisted(const WorkerId& id) {
+  if (leadership_)
+    leadership_->dispatcher->OnWorkerUnlisted(id);
+}
+
+}  // namespace quetzalshelf
--- a/main/daemon/main.cc
+++ b/main/daemon/main.cc
@@ -1,6 +1,8 @@
 // quetzalshelfd: the daemon of an entry VM.
 
+#include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <random>
 #include <string>
 #include <vector>
@@ -12,11 +14,16 @@
 #include "core/random.h"
 #include "main/daemon/daemon.h"
 #include "main/daemon/daemon_config.h"
+#include "main/daemon/entry_node.h"
+#include "platform/entry_settings.h"
 
 namespace quetzalshelf {
 namespace {
 
 constexpr int kExitFailed = 1;
+// Runs an entry node on the users' platform.
+constexpr char kEntryCommand[] = "entry";
+constexpr char kEntrySettingsVariable[] = "QUETZALSHELF_BOOT";
 
 // Unique among all processes ever started, since it is part of tickets and of
 // the tokens of transactions.
@@ -46,7 +53,47 @@
   return kExitOk;
 }
 
+// Runs an entry node on the users' platform. The path of its settings comes
+// from the platform's environment variable.
+int RunEntryNode() {
+  const char* const path = std::getenv(kEntrySettingsVariable);
+  if (path == nullptr) {
+    std::fprintf(stderr, "%s is not set: it names the settings file\n",
+                 kEntrySettingsVariable);
+    return kExitBadConfig;
+  }
+  const absl::StatusOr<std::string> text = ReadConfigFile(path);
+  if (!text.ok()) {
+    std::fprintf(stderr, "%s\n", text.status().ToString().c_str());
+    return kExitBadConfig;
+  }
+  const auto settings = platform::ParseEntrySettings(*text, path);
+  if (!settings.ok()) {
+    std::fprintf(stderr, "%s\n", settings.status().ToString().c_str());
+    return kExitBadConfig;
+  }
+  InitLogging({LogFormat::kJson, LogLevel::kInfo, settings->node.value()});
+  std::signal(SIGPIPE, SIG_IGN);
+  asio::io_context io(1);
+  EntryNode node(io, *settings, std::random_device()());
+  if (const absl::Status status = node.Start(); !status.ok()) {
+    LOG(ERROR) << "cannot start: " << status.message();
+    return kExitFailed;
+  }
+  asio::signal_set stop_signals(io, SIGTERM, SIGINT);
+  stop_signals.async_wait([&](const asio::error_code& ec, int) {
+    if (!ec)
+      node.Stop([&io] { io.stop(); });
+  });
+  // Settings are read at the start; a reload changes none of them.
+  std::signal(SIGHUP, SIG_IGN);
+  io.run();
+  return kExitOk;
+}
+
 int Main(const std::vector<std::string>& args) {
+  if (args.size() == 1 && args[0] == kEntryCommand)
+    return RunEntryNode();
   const DaemonCommandLine line = ParseDaemonCommandLine(args, ReadConfigFile);
   std::fputs(line.output.c_str(), stdout);
   std::fputs(line.errors.c_str(), stderr);
--- /dev/null
+++ b/servers/batch/dispatcher.cc
@@ -0,0 +1,348 @@
+#include "servers/batch/dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/logging.h"
+#include "servers/batch/job_codec.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+// Starts rely on the list of workers and on the evacuated failure domains;
+// older views may miss a worker or a domain that is leaving.
+constexpr Duration kViewTrust{1'800};
+// Finished jobs stay known for twice the time that callers may ask for them.
+constexpr Duration kFinishedJobRetention{240'000};
+constexpr Duration kCleanupPeriod{5'000};
+constexpr Duration kCleanupTimeout{1'000};
+// Passes within this time are joined, so that a burst costs few of them.
+constexpr Duration kPassSpacing{10};
+// Bounds the age of a job when wall clocks have jumped.
+constexpr Duration kLongestAge{600'000};
+
+}  // namespace
+
+Dispatcher::Dispatcher(VersionedStore& store,
+                       WorkerPort& workers,
+                       const Clock& clock,
+                       const SiteView& site,
+                       MetricsRegistry& metrics,
+                       EpochProof proof,
+                       DeposedHandler on_deposed,
+                       uint64_t seed)
+    : store_(store),
+      port_(workers),
+      clock_(clock),
+      site_(site),
+      proof_(proof),
+      on_deposed_(std::move(on_deposed)),
+      writer_(
+          store,
+          clock,
+          proof,
+          [this](const JobId& id) { return MakeStateRow(id); },
+          [this](const JobId& id, uint64_t revision, RowVersion version) {
+            OnStateCommitted(id, revision, version);
+          },
+          [this] { Depose("the epoch row has changed"); },
+          seed),
+      started_at_(clock.Now()),
+      starts_(metrics.GetCounter("quetzalshelf_task_starts_total")),
+      ends_(metrics.GetCounter("quetzalshelf_task_ends_total")),
+      failures_(metrics.GetCounter("quetzalshelf_task_failures_total")),
+      losses_(metrics.GetCounter("quetzalshelf_task_losses_total")),
+      reclaims_(metrics.GetCounter("quetzalshelf_reclaims_total")),
+      start_delay_(metrics.GetDistribution("quetzalshelf_start_delay_ms")) {
+  states_ = std::make_unique<TableFollower>(
+      store_, clock_,
+      TableFollowerOptions{.table = kStateTable, .partition = kLeaderPartition},
+      [this](const std::vector<StoreRow>& rows) { OnStates(rows); },
+      [](const std::vector<StoreRow>&) {}, seed + 1);
+  job_rows_ = std::make_unique<TableFollower>(
+      store_, clock_,
+      TableFollowerOptions{.table = kJobTable, .partition = kJobPartition},
+      [this](const std::vector<StoreRow>& rows) { OnJobs(rows); },
+      [this](const std::vector<StoreRow>& rows) { OnJobs(rows); }, seed + 2);
+  cancel_rows_ = std::make_unique<TableFollower>(
+      store_, clock_,
+      TableFollowerOptions{.table = kCancelTable,
+                           .partition = kCancelPartition},
+      [this](const std::vector<StoreRow>& rows) { OnCancels(rows); },
+      [this](const std::vector<StoreRow>& rows) { OnCancels(rows); }, seed + 3);
+}
+
+Dispatcher::~Dispatcher() {
+  *alive_ = false;
+}
+
+void Dispatcher::Tick(TimePoint now) {
+  if (deposed_)
+    return;
+  // The states come first: jobs take their progress from them. They are read
+  // once, since only the leader writes them.
+  if (!states_read_) {
+    states_->Tick(now);
+    return;
+  }
+  states_.reset();
+  job_rows_->Tick(now);
+  cancel_rows_->Tick(now);
+  TickRuns(now);
+  TickWorkers(now);
+  if (pass_due_ && now - last_pass_ >= kPassSpacing && MayStart(now)) {
+    last_pass_ = now;
+    pass_due_ = false;
+    Pass(now);
+  }
+  writer_.Pump(now);
+  if (now >= next_cleanup_) {
+    next_cleanup_ = now + kCleanupPeriod;
+    pass_due_ = true;
+    ForgetOldJobs(now);
+  }
+}
+
+bool Dispatcher::MayStart(TimePoint now) const {
+  return !retired_ && !deposed_ && workers_read_ && job_rows_->ready() &&
+         cancel_rows_->ready() && site_.config() &&
+         now - workers_confirmed_at_ <= kViewTrust &&
+         now - site_.confirmed_at() <= kViewTrust &&
+         now - cancel_rows_->confirmed_at() <= kViewTrust;
+}
+
+void Dispatcher::OnStates(const std::vector<StoreRow>& rows) {
+  for (const StoreRow& it : rows)
+    restored_[JobId(it.id.key)] = it;
+  states_read_ = true;
+  LOG(INFO) << "states of jobs read: epoch=" << proof_.epoch
+            << " jobs=" << rows.size();
+}
+
+void Dispatcher::OnJobs(const std::vector<StoreRow>& rows) {
+  const TimePoint now = clock_.Now();
+  for (const StoreRow& it : rows) {
+    if (!it.deleted && !jobs_.contains(JobId(it.id.key)))
+      AddJob(it, now);
+  }
+  Tick(now);
+}
+
+void Dispatcher::AddJob(const StoreRow& row, TimePoint now) {
+  const JobId id(row.id.key);
+  Findings findings;
+  std::optional<JobRecord> record = DecodeJobRecord(id, row.value, findings);
+  if (!record) {
+    LOG(ERROR) << "job " << id
+               << " cannot be read and is not run: " << findings.ToString();
+    return;
+  }
+  // VMs' wall clocks differ a little, so an age may come out negative.
+  const Duration age =
+      std::clamp(Duration(clock_.WallMillis() - record->accepted_wall_ms),
+                 Duration(0), kLongestAge);
+  auto job = std::make_unique<Job>(*std::move(record), now, age);
+  if (const auto it = restored_.find(id); it != restored_.end()) {
+    job->row_version = it->second.version;
+    if (!job->RestoreState(it->second.value, now)) {
+      LOG(ERROR) << "state of job " << id
+                 << " cannot be read; the job is left alone";
+      return;
+    }
+    restored_.erase(it);
+    job->revision = job->committed_revision = 1;
+  }
+  Job& added = *job;
+  jobs_.emplace(id, std::move(job));
+  live_.insert(id);
+  pass_due_ = true;
+  if (cancelled_.contains(id))
+    CancelJob(added, now);
+  LOG(INFO) << "job " << id << " taken up: queue=" << added.record().queue
+            << " workspace=" << added.record().workspace
+            << " steps=" << added.record().spec.steps.size()
+            << " phase=" << ToString(added.phase())
+            << " age_ms=" << age.count();
+}
+
+void Dispatcher::OnCancels(const std::vector<StoreRow>& rows) {
+  const TimePoint now = clock_.Now();
+  for (const StoreRow& it : rows) {
+    const JobId id(it.id.key);
+    if (it.deleted || !cancelled_.insert(id).second)
+      continue;
+    if (Job* const job = FindJob(id))
+      CancelJob(*job, now);
+  }
+  Tick(now);
+}
+
+void Dispatcher::CancelJob(Job& job, TimePoint now) {
+  if (job.IsFinal())
+    return;
+  LOG(INFO) << "job " << job.record().id << " cancelled";
+  job.Cancel();
+  for (OccurrenceProgress& occurrence : job.occurrences()) {
+    for (StepProgress& step : occurrence.steps)
+      StopStep(job, step, now);
+  }
+  Changed(job);
+}
+
+void Dispatcher::Changed(Job& job) {
+  ++job.revision;
+  pass_due_ = true;
+  writer_.MarkDirty(job.record().id);
+  const bool is_final = job.IsFinal();
+  if (!is_final || job.final_since != TimePoint())
+    return;
+  job.final_since = clock_.Now();
+  LOG(INFO) << "job " << job.record().id << " is " << ToString(job.phase())
+            << ": queue=" << job.record().queue
+            << " after_ms=" << (job.final_since - job.accepted_at()).count();
+}
+
+std::optional<StateRow> Dispatcher::MakeStateRow(const JobId& id) {
+  const Job* const job = FindJob(id);
+  if (!job)
+    return std::nullopt;
+  return StateRow{job->EncodeState(), job->row_version, job->revision};
+}
+
+void Dispatcher::OnStateCommitted(const JobId& id,
+                                  uint64_t revision,
+                                  RowVersion version) {
+  Job* const job = FindJob(id);
+  if (!job)
+    return;
+  job->row_version = version;
+  job->committed_revision = std::max(job->committed_revision, revision);
+  if (job->revision > revision)
+    writer_.MarkDirty(id);
+  const TimePoint now = clock_.Now();
+  for (OccurrenceProgress& occurrence : job->occurrences()) {
+    for (StepProgress& step : occurrence.steps) {
+      for (TaskProgress& task : step.tasks) {
+        if (task.run && task.run->phase == RunPhase::kRecording &&
+            task.run->revision <= job->committed_revision) {
+          task.run->phase = RunPhase::kStarting;
+          task.run->phase_since = now;
+        }
+      }
+    }
+  }
+  for (auto& [worker_id, worker] : book_.workers())
+    NoteEnds(worker);
+  Tick(now);
+}
+
+void Dispatcher::NoteEnds(Worker& worker) {
+  while (!worker.pending_ends.empty()) {
+    const Worker::PendingEnd& end = worker.pending_ends.front();
+    const Job* const job = FindJob(end.job);
+    if (job && job->committed_revision < end.revision)
+      return;
+    worker.noted_ends = end.number;
+    worker.pending_ends.pop_front();
+    worker.sync_soon = true;
+  }
+}
+
+void Dispatcher::OnWorkers(const std::vector<WorkerEntry>& entries,
+                           TimePoint now) {
+  std::set<WorkerId> listed;
+  for (const WorkerEntry& it : entries) {
+    listed.insert(it.id);
+    book_.Update(it, now);
+  }
+  book_.KeepOnly(listed);
+  workers_read_ = true;
+  pass_due_ = true;
+  Tick(now);
+}
+
+void Dispatcher::OnWorker(const WorkerEntry& entry, TimePoint now) {
+  Worker* const known = book_.Find(entry.id);
+  const bool news = !known || !known->listed ||
+                    known->entry.draining != entry.draining ||
+                    known->entry.born_wall_ms != entry.born_wall_ms;
+  book_.Update(entry, now);
+  if (news)
+    pass_due_ = true;
+}
+
+void Dispatcher::OnWorkerUnlisted(const WorkerId& id) {
+  book_.Unlist(id);
+}
+
+Job* Dispatcher::FindJob(const JobId& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+void Dispatcher::Depose(const std::string& reason) {
+  if (deposed_)
+    return;
+  deposed_ = true;
+  on_deposed_(reason);
+}
+
+LoadReport Dispatcher::Report() const {
+  LoadReport report;
+  for (const JobId& id : live_) {
+    const Job& job = *jobs_.at(id);
+    if (!job.begun() && !job.IsFinal())
+      ++report.queues[job.record().queue].pending;
+  }
+  return report;
+}
+
+void Dispatcher::ForgetOldJobs(TimePoint now) {
+  std::vector<JobId> old;
+  for (const auto& [id, job] : jobs_) {
+    if (job->final_since != TimePoint() && !live_.contains(id) &&
+        now - job->final_since > kFinishedJobRetention)
+      old.push_back(id);
+  }
+  for (const JobId& id : old) {
+    const std::string key = id.value();
+    const RowVersion state_version = FindJob(id)->row_version;
+    jobs_.erase(id);
+    cancelled_.erase(id);
+    // The job's row goes first: a state without a job is harmless, a job
+    // without its state would run again.
+    StoreTransaction job_row;
+    job_row.deletes = {{kJobTable, kJobPartition, key}};
+    store_.Commit(
+        job_row, kCleanupTimeout,
+        [this, alive = alive_, key,
+         state_version](const absl::StatusOr<CommitOutcome>& result) {
+          if (!*alive)
+            return;
+          if (!result.ok()) {
+            LOG(WARNING) << "old job " << key
+                         << " was not deleted: " << result.status().message();
+            return;
+          }
+          const auto log_failure =
+              [key](const absl::StatusOr<CommitOutcome>& outcome) {
+                if (!outcome.ok()) {
+                  LOG(WARNING)
+                      << "rows of old job " << key
+                      << " were not deleted: " << outcome.status().message();
+                }
+              };
+          StoreTransaction state;
+          state.conditions = {{EpochRowKey(), proof_.version},
+                              {StateRowKey(JobId(key)), state_version}};
+          state.deletes = {StateRowKey(JobId(key))};
+          store_.Commit(state, kCleanupTimeout, log_failure);
+          StoreTransaction cancel;
+          cancel.deletes = {{kCancelTable, kCancelPartition, key}};
+          store_.Commit(cancel, kCleanupTimeout, log_failure);
+        });
+  }
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/dispatcher.h
@@ -0,0 +1,163 @@
+// The leader's work: takes accepted jobs, starts their tasks on workers, keeps
+// leases alive, takes note of ends, and recovers what a former leader left.
+//
+// A run is in the store before its start order is sent, and an end before the
+// worker may forget it. So a new leader knows from the rows where each task may
+// be, and from the workers what became of it.
+
+#ifndef SERVERS_BATCH_DISPATCHER_H_
+#define SERVERS_BATCH_DISPATCHER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/platform/versioned_store.h"
+#include "core/time.h"
+#include "servers/batch/job_state.h"
+#include "servers/batch/load_report.h"
+#include "servers/batch/placement.h"
+#include "servers/batch/site_view.h"
+#include "servers/batch/state_writer.h"
+#include "servers/batch/table_follower.h"
+#include "servers/batch/worker_book.h"
+#include "servers/batch/worker_port.h"
+
+namespace quetzalshelf::batch {
+
+class Dispatcher {
+ public:
+  // Another leader has taken over, for the reason given.
+  using DeposedHandler = std::function<void(const std::string&)>;
+
+  Dispatcher(VersionedStore& store,
+             WorkerPort& workers,
+             const Clock& clock,
+             const SiteView& site,
+             MetricsRegistry& metrics,
+             EpochProof proof,
+             DeposedHandler on_deposed,
+             uint64_t seed);
+  ~Dispatcher();
+
+  // Call about every 20 ms, and after other calls that change something.
+  void Tick(TimePoint now);
+
+  // The list of workers as the platform has it.
+  void OnWorkers(const std::vector<WorkerEntry>& entries, TimePoint now);
+  void OnWorker(const WorkerEntry& entry, TimePoint now);
+  void OnWorkerUnlisted(const WorkerId& id);
+  // The list was current at `time` or later.
+  void ConfirmWorkers(TimePoint time) { workers_confirmed_at_ = time; }
+
+  // Starts nothing further but goes on renewing leases, until a successor
+  // gives orders.
+  void Retire() { retired_ = true; }
+
+  LoadReport Report() const;
+
+ private:
+  struct Unit;  // A gang, or the waiting tasks of a step.
+
+  // dispatcher.cc: rows.
+  void OnStates(const std::vector<StoreRow>& rows);
+  void OnJobs(const std::vector<StoreRow>& rows);
+  void OnCancels(const std::vector<StoreRow>& rows);
+  void AddJob(const StoreRow& row, TimePoint now);
+  void CancelJob(Job& job, TimePoint now);
+  void Changed(Job& job);
+  std::optional<StateRow> MakeStateRow(const JobId& id);
+  void OnStateCommitted(const JobId& id, uint64_t revision, RowVersion version);
+  void NoteEnds(Worker& worker);
+  bool MayStart(TimePoint now) const;
+  void Depose(const std::string& reason);
+  Job* FindJob(const JobId& id);
+  void ForgetOldJobs(TimePoint now);
+
+  // dispatcher_orders.cc: orders to workers.
+  void TickRuns(TimePoint now);
+  void TickRun(Job& job, const TaskId& id, TaskProgress& task, TimePoint now);
+  void TickWorkers(TimePoint now);
+  void SendStart(Job& job, const TaskId& id, Run& run, TimePoint now);
+  void OnStartReply(const TaskId& id,
+                    Attempt attempt,
+                    const WorkerId& worker_id,
+                    const absl::StatusOr<OrderReply>& reply);
+  void SendStop(const TaskId& id, Run& run, TimePoint now);
+  void OnStopReply(const TaskId& id,
+                   Attempt attempt,
+                   const WorkerId& worker_id,
+                   const absl::StatusOr<OrderReply>& reply);
+  void SendSync(Worker& worker, TimePoint now);
+  void OnSyncReply(const WorkerId& id,
+                   TimePoint sent_at,
+                   const absl::StatusOr<SyncReply>& reply);
+  void ApplyEnds(Worker& worker, const SyncReply& reply, TimePoint now);
+  void ApplyRuns(Worker& worker,
+                 const SyncReply& reply,
+                 TimePoint sent_at,
+                 TimePoint now);
+  void StopStrayRun(const Worker& worker, const ListedRun& listed);
+  void RequestStop(Run& run, TimePoint now);
+  void StopStep(Job& job, StepProgress& step, TimePoint now);
+  void LoseRun(Job& job, const TaskId& id, Attempt attempt, const char* why);
+  Run* FindRun(const TaskId& id, Attempt attempt, const WorkerId& worker);
+
+  // dispatcher_pass.cc: what to start.
+  void Pass(TimePoint now);
+  void CountUse();
+  std::vector<Unit> CollectUnits(TimePoint now);
+  std::set<JobId> GuaranteedJobs() const;
+  std::vector<Candidate> MakeCandidates(const ServiceName& service,
+                                        TimePoint now);
+  void StartUnit(Unit& unit, TimePoint now);
+  bool TryReserved(Unit& unit, TimePoint now);
+  bool TryReclaim(Unit& unit,
+                  const std::vector<Candidate>& candidates,
+                  const Demand& demand,
+                  TimePoint now);
+  void Assign(Unit& unit, const std::vector<WorkerId>& workers, TimePoint now);
+
+  VersionedStore& store_;
+  WorkerPort& port_;
+  const Clock& clock_;
+  const SiteView& site_;
+  EpochProof proof_;
+  DeposedHandler on_deposed_;
+
+  std::map<JobId, std::unique_ptr<Job>> jobs_;
+  std::set<JobId> live_;  // Not final, or with runs.
+  std::set<JobId> cancelled_;
+  std::map<JobId, StoreRow> restored_;
+  WorkerBook book_;
+  StateWriter writer_;
+  std::unique_ptr<TableFollower> states_;
+  std::unique_ptr<TableFollower> job_rows_;
+  std::unique_ptr<TableFollower> cancel_rows_;
+  bool states_read_ = false;
+  bool workers_read_ = false;
+  bool retired_ = false;
+  bool deposed_ = false;
+  bool pass_due_ = true;
+  TimePoint last_pass_;
+  TimePoint next_cleanup_;
+  TimePoint workers_confirmed_at_;
+  TimePoint started_at_;
+
+  Counter& starts_;
+  Counter& ends_;
+  Counter& failures_;
+  Counter& losses_;
+  Counter& reclaims_;
+  Distribution& start_delay_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_DISPATCHER_H_
--- /dev/null
+++ b/servers/batch/dispatcher_orders.cc
@@ -0,0 +1,468 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/logging.h"
+#include "servers/batch/dispatcher.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+// A worker answers an order within milliseconds; one that is slow or cut off
+// is asked again.
+constexpr Duration kOrderTimeout{400};
+constexpr Duration kOrderRetry{60};
+// Members of a gang wait for each other; a start without a certain outcome is
+// given up well before they give up themselves (3 s).
+constexpr Duration kStartPatience{1'400};
+// A sync may wait this long for an end. Renews leases several times in their
+// length.
+constexpr Duration kSyncWait{1'500};
+constexpr Duration kSyncTimeout{500};
+constexpr Duration kSyncRetry{150};
+// Syncs of a worker whose ends cannot be written, so that its leases last.
+constexpr Duration kBlockedSync{700};
+// Pause before a step is tried again after a worker refused it.
+constexpr Duration kRefusedPause{100};
+// Time for which a worker that refused an order gets no further ones.
+constexpr Duration kRefusingWorkerPause{400};
+// Back-off of a step after its run failed, by the number of failures.
+constexpr Duration kFailedPause{50};
+
+bool HasOrders(RunPhase phase) {
+  return phase != RunPhase::kRecording;
+}
+
+}  // namespace
+
+void Dispatcher::TickRuns(TimePoint now) {
+  for (auto& [id, worker] : book_.workers())
+    worker.runs = 0;
+  for (auto it = live_.begin(); it != live_.end();) {
+    Job& job = *jobs_.at(*it);
+    bool has_runs = false;
+    TaskId id{*it};
+    for (OccurrenceProgress& occurrence : job.occurrences()) {
+      id.step = 0;
+      for (StepProgress& step : occurrence.steps) {
+        id.index = 0;
+        for (TaskProgress& task : step.tasks) {
+          if (task.run)
+            TickRun(job, id, task, now);
+          has_runs = has_runs || task.run.has_value();
+          ++id.index;
+        }
+        ++id.step;
+      }
+      ++id.occurrence;
+    }
+    const bool over = !has_runs && job.IsFinal();
+    it = over ? live_.erase(it) : std::next(it);
+  }
+}
+
+void Dispatcher::TickRun(Job& job,
+                         const TaskId& id,
+                         TaskProgress& task,
+                         TimePoint now) {
+  Run& run = *task.run;
+  Worker& worker = book_.FindOrAdd(run.worker, now);
+  if (HasOrders(run.phase))
+    ++worker.runs;
+  // Nothing of it can run any more once every lease has lapsed there.
+  const bool lapsed = HasOrders(run.phase) && now > worker.leases_end;
+  if (lapsed) {
+    LoseRun(job, id, run.attempt, "the worker's leases have lapsed");
+    return;
+  }
+  if (run.in_flight || now < run.next_try || worker.entry.port == 0)
+    return;
+  if (run.phase == RunPhase::kStarting && !retired_) {
+    if (now - run.phase_since <= kStartPatience) {
+      SendStart(job, id, run, now);
+      return;
+    }
+    LOG(WARNING) << "task " << ToString(id) << " attempt=" << run.attempt
+                 << " could not be started on worker " << run.worker;
+    if (job.spec(id.step).gang)
+      StopStep(job, *job.FindStep(id), now);
+    else
+      RequestStop(run, now);
+  }
+  if (run.phase == RunPhase::kStopping && !run.stop_confirmed)
+    SendStop(id, run, now);
+}
+
+void Dispatcher::SendStart(Job& job,
+                           const TaskId& id,
+                           Run& run,
+                           TimePoint now) {
+  Worker& worker = book_.FindOrAdd(run.worker, now);
+  StartOrder order;
+  order.task = id;
+  order.attempt = run.attempt;
+  order.epoch = proof_.epoch;
+  order.payload = job.record().spec.payload;
+  order.checkpoint = job.Find(id)->checkpoint;
+  order.lease_until_ms = worker.GrantLease(now);
+  run.in_flight = true;
+  port_.Start(
+      worker.entry, order, kOrderTimeout,
+      [this, alive = alive_, id, attempt = run.attempt,
+       worker_id = run.worker](const absl::StatusOr<OrderReply>& reply) {
+        if (*alive && !deposed_)
+          OnStartReply(id, attempt, worker_id, reply);
+      });
+}
+
+Run* Dispatcher::FindRun(const TaskId& id,
+                         Attempt attempt,
+                         const WorkerId& worker) {
+  Job* const job = FindJob(id.job);
+  TaskProgress* const task = job ? job->Find(id) : nullptr;
+  const bool found = task && task->run && task->run->attempt == attempt &&
+                     task->run->worker == worker;
+  return found ? &*task->run : nullptr;
+}
+
+void Dispatcher::OnStartReply(const TaskId& id,
+                              Attempt attempt,
+                              const WorkerId& worker_id,
+                              const absl::StatusOr<OrderReply>& reply) {
+  const TimePoint now = clock_.Now();
+  Worker& worker = book_.FindOrAdd(worker_id, now);
+  if (reply.ok() && reply->clock_ms)
+    worker.ObserveClock(*reply->clock_ms, now);
+  Run* const run = FindRun(id, attempt, worker_id);
+  if (!run)
+    return;
+  run->in_flight = false;
+  if (!reply.ok()) {
+    run->uncertain = run->uncertain || !absl::IsUnavailable(reply.status());
+    run->next_try = now + kOrderRetry;
+    return;
+  }
+  Job& job = *FindJob(id.job);
+  if (reply->result == OrderResult::kFenced) {
+    Depose("a worker knows a newer epoch");
+    return;
+  }
+  if (run->phase != RunPhase::kStarting)
+    return;
+  switch (reply->result) {
+    case OrderResult::kDone:
+    case OrderResult::kSuperseded:
+      // A superseded run may have ended; the next sync tells.
+      run->phase = RunPhase::kRunning;
+      run->phase_since = run->confirmed_at = now;
+      run->started_at = run->progressed_at = run->saved_at = now;
+      if (reply->result == OrderResult::kSuperseded)
+        worker.sync_soon = true;
+      starts_.Add();
+      start_delay_.Record(
+          static_cast<double>((now - job.FindStep(id)->ready_since).count()));
+      LOG(INFO) << "task " << ToString(id) << " started: worker=" << worker_id
+                << " attempt=" << attempt << " superseded="
+                << (reply->result == OrderResult::kSuperseded);
+      return;
+    case OrderResult::kLeaseInPast:
+      run->next_try = now + kOrderRetry;
+      worker.sync_soon = true;
+      return;
+    default:
+      break;
+  }
+  LOG(WARNING) << "worker " << worker_id << " refused to start task "
+               << ToString(id)
+               << ": result=" << static_cast<int>(reply->result);
+  worker.avoid_until = std::max(worker.avoid_until, now + kRefusingWorkerPause);
+  worker.sync_soon = true;
+  StepProgress& step = *job.FindStep(id);
+  step.retry_at = now + kRefusedPause;
+  if (run->uncertain)
+    RequestStop(*run, now);
+  else
+    LoseRun(job, id, attempt, "the worker refused to start it");
+  if (job.spec(id.step).gang)
+    StopStep(job, step, now);
+  Tick(now);
+}
+
+void Dispatcher::RequestStop(Run& run, TimePoint now) {
+  if (run.phase == RunPhase::kStopping)
+    return;
+  run.phase = RunPhase::kStopping;
+  run.phase_since = now;
+  run.next_try = now;
+  run.stop_confirmed = false;
+  run.in_flight = false;
+}
+
+void Dispatcher::StopStep(Job& job, StepProgress& step, TimePoint now) {
+  step.reserved.clear();
+  for (TaskProgress& it : step.tasks) {
+    if (!it.run)
+      continue;
+    if (it.run->phase == RunPhase::kRecording) {
+      // No order was sent for it.
+      it.run.reset();
+      Changed(job);
+      continue;
+    }
+    RequestStop(*it.run, now);
+  }
+}
+
+void Dispatcher::SendStop(const TaskId& id, Run& run, TimePoint now) {
+  const Worker& worker = book_.FindOrAdd(run.worker, now);
+  run.in_flight = true;
+  port_.Stop(worker.entry, {id, run.attempt, proof_.epoch}, kOrderTimeout,
+             [this, alive = alive_, id, attempt = run.attempt,
+              worker_id = run.worker](const absl::StatusOr<OrderReply>& reply) {
+               if (*alive && !deposed_)
+                 OnStopReply(id, attempt, worker_id, reply);
+             });
+}
+
+void Dispatcher::OnStopReply(const TaskId& id,
+                             Attempt attempt,
+                             const WorkerId& worker_id,
+                             const absl::StatusOr<OrderReply>& reply) {
+  const TimePoint now = clock_.Now();
+  Worker& worker = book_.FindOrAdd(worker_id, now);
+  if (reply.ok() && reply->clock_ms)
+    worker.ObserveClock(*reply->clock_ms, now);
+  if (reply.ok() && reply->result == OrderResult::kFenced) {
+    Depose("a worker knows a newer epoch");
+    return;
+  }
+  Run* const run = FindRun(id, attempt, worker_id);
+  if (!run || run->phase != RunPhase::kStopping)
+    return;
+  run->in_flight = false;
+  const bool confirmed =
+      reply.ok() && (reply->result == OrderResult::kDone ||
+                     reply->result == OrderResult::kSuperseded);
+  if (!confirmed) {
+    if (reply.ok() && reply->result == OrderResult::kOtherIncarnation) {
+      LoseRun(*FindJob(id.job), id, attempt, "the worker has another life");
+      return;
+    }
+    run->next_try = now + kOrderRetry;
+    return;
+  }
+  run->stop_confirmed = true;
+  run->confirmed_at = now;
+  worker.sync_soon = true;
+  Tick(now);
+}
+
+void Dispatcher::LoseRun(Job& job,
+                         const TaskId& id,
+                         Attempt attempt,
+                         const char* why) {
+  if (!job.ApplyLoss(id, attempt))
+    return;
+  losses_.Add();
+  LOG(INFO) << "task " << ToString(id) << " attempt=" << attempt
+            << " has no run any more: " << why;
+  // The other members of a gang cannot work on.
+  if (job.spec(id.step).gang)
+    StopStep(job, *job.FindStep(id), clock_.Now());
+  Changed(job);
+}
+
+void Dispatcher::TickWorkers(TimePoint now) {
+  for (auto& [id, worker] : book_.workers()) {
+    if (worker.sync_in_flight || worker.entry.port == 0 ||
+        now < worker.next_sync)
+      continue;
+    const bool wanted = worker.runs > 0 || worker.sync_soon ||
+                        !worker.pending_ends.empty() ||
+                        worker.told_ends < worker.noted_ends;
+    const bool greet = worker.listed && !worker.synced;
+    if (wanted || greet)
+      SendSync(worker, now);
+  }
+}
+
+void Dispatcher::SendSync(Worker& worker, TimePoint now) {
+  SyncRequest request;
+  request.epoch = proof_.epoch;
+  request.noted_ends = worker.noted_ends;
+  // A worker that has not been heard of has no known clock to grant a lease on.
+  if (worker.runs > 0 && worker.has_clock)
+    request.lease_until_ms = worker.GrantLease(now);
+  const bool may_wait = worker.synced && worker.pending_ends.empty() &&
+                        !worker.sync_soon && worker.sync_failures == 0;
+  if (may_wait)
+    request.wait = kSyncWait;
+  worker.sync_soon = false;
+  worker.sync_in_flight = true;
+  port_.Sync(
+      worker.entry, request, kSyncTimeout + request.wait,
+      [this, alive = alive_, id = worker.entry.id, now,
+       noted = request.noted_ends](const absl::StatusOr<SyncReply>& reply) {
+        if (!*alive || deposed_)
+          return;
+        Worker* const known = book_.Find(id);
+        if (known && reply.ok() && reply->result == OrderResult::kDone)
+          known->told_ends = noted;
+        OnSyncReply(id, now, reply);
+      });
+}
+
+void Dispatcher::OnSyncReply(const WorkerId& id,
+                             TimePoint sent_at,
+                             const absl::StatusOr<SyncReply>& reply) {
+  const TimePoint now = clock_.Now();
+  Worker& worker = book_.FindOrAdd(id, now);
+  worker.sync_in_flight = false;
+  if (!reply.ok() || (reply->result != OrderResult::kDone &&
+                      reply->result != OrderResult::kFenced)) {
+    if (worker.sync_failures++ == 0) {
+      LOG(WARNING) << "worker " << id << " cannot be synced: "
+                   << (reply.ok() ? "it refused"
+                                  : std::string(reply.status().message()));
+    }
+    worker.next_sync = now + kSyncRetry;
+    return;
+  }
+  if (reply->result == OrderResult::kFenced) {
+    Depose("a worker knows a newer epoch");
+    return;
+  }
+  const bool news = !worker.synced || worker.sync_failures > 0;
+  worker.synced = true;
+  worker.sync_failures = 0;
+  const bool reborn = reply->born_wall_ms != 0 &&
+                      worker.entry.born_wall_ms != 0 &&
+                      reply->born_wall_ms != worker.entry.born_wall_ms;
+  if (reborn) {
+    LOG(INFO) << "worker " << id << " has a new life";
+    worker.Rebirth(reply->born_wall_ms);
+  }
+  worker.ObserveClock(reply->clock_ms, now);
+  ApplyEnds(worker, *reply, now);
+  ApplyRuns(worker, *reply, sent_at, now);
+  NoteEnds(worker);
+  worker.next_sync = worker.pending_ends.empty() ? now : now + kBlockedSync;
+  if (news)
+    pass_due_ = true;
+  Tick(now);
+}
+
+void Dispatcher::ApplyEnds(Worker& worker,
+                           const SyncReply& reply,
+                           TimePoint now) {
+  for (const ListedEnd& end : reply.ends) {
+    if (end.number <= worker.applied_ends)
+      continue;
+    worker.applied_ends = end.number;
+    Job* const job = FindJob(end.task.job);
+    if (job && job->ApplyEnd(end.task, end.attempt, end.reason, end.checkpoint,
+                             worker.entry.id)) {
+      ends_.Add();
+      LOG(INFO) << "task " << ToString(end.task)
+                << " ended: worker=" << worker.entry.id
+                << " attempt=" << end.attempt
+                << " reason=" << static_cast<int>(end.reason);
+      StepProgress& step = *job->FindStep(end.task);
+      if (end.reason == EndReason::kFailed) {
+        failures_.Add();
+        worker.RecordFailure(end.task.job, now);
+        step.retry_at = now + kFailedPause;
+      }
+      if (end.reason == EndReason::kDone)
+        worker.RecordSuccess();
+      else if (job->spec(end.task.step).gang)
+        StopStep(*job, step, now);
+      if (job->IsFinal()) {
+        for (OccurrenceProgress& occurrence : job->occurrences()) {
+          for (StepProgress& it : occurrence.steps) {
+            if (!Job::IsDone(it))
+              StopStep(*job, it, now);
+          }
+        }
+      }
+      Changed(*job);
+    }
+    worker.pending_ends.push_back(
+        {end.number, end.task.job, job ? job->revision : 0});
+  }
+}
+
+void Dispatcher::ApplyRuns(Worker& worker,
+                           const SyncReply& reply,
+                           TimePoint sent_at,
+                           TimePoint now) {
+  std::set<std::pair<TaskId, Attempt>> listed;
+  for (const ListedRun& it : reply.runs) {
+    listed.emplace(it.task, it.attempt);
+    Run* const run = FindRun(it.task, it.attempt, worker.entry.id);
+    if (!run) {
+      StopStrayRun(worker, it);
+      continue;
+    }
+    Job& job = *FindJob(it.task.job);
+    if (run->phase == RunPhase::kStarting ||
+        run->phase == RunPhase::kRecovered) {
+      run->phase = RunPhase::kRunning;
+      run->phase_since = run->confirmed_at = now;
+      if (!job.begun()) {
+        job.set_begun();
+        Changed(job);
+      }
+    }
+    if (it.percent != run->percent) {
+      run->percent = it.percent;
+      run->progressed_at = now;
+    }
+    job.SaveCheckpoint(it.task, it.checkpoint, now);
+  }
+  // Runs that the worker must know of and does not list are gone.
+  for (const JobId& job_id : live_) {
+    Job& job = *jobs_.at(job_id);
+    TaskId id{job_id};
+    for (OccurrenceProgress& occurrence : job.occurrences()) {
+      id.step = 0;
+      for (StepProgress& step : occurrence.steps) {
+        id.index = 0;
+        for (TaskProgress& task : step.tasks) {
+          const bool here = task.run && task.run->worker == worker.entry.id &&
+                            !listed.contains({id, task.run->attempt});
+          if (here) {
+            const Run& run = *task.run;
+            const bool confirmed =
+                run.phase == RunPhase::kRunning ||
+                (run.phase == RunPhase::kStopping && run.stop_confirmed);
+            if (run.phase == RunPhase::kRecovered ||
+                (confirmed && run.confirmed_at <= sent_at))
+              LoseRun(job, id, run.attempt, "the worker does not list it");
+          }
+          ++id.index;
+        }
+        ++id.step;
+      }
+      ++id.occurrence;
+    }
+  }
+}
+
+void Dispatcher::StopStrayRun(const Worker& worker, const ListedRun& listed) {
+  LOG(WARNING) << "worker " << worker.entry.id << " runs task "
+               << ToString(listed.task) << " attempt=" << listed.attempt
+               << " that is not assigned to it; stopping it";
+  port_.Stop(worker.entry, {listed.task, listed.attempt, proof_.epoch},
+             kOrderTimeout,
+             [id = worker.entry.id](const absl::StatusOr<OrderReply>& reply) {
+               // The next sync lists the run again if it goes on.
+               if (!reply.ok()) {
+                 LOG(WARNING)
+                     << "worker " << id
+                     << " did not confirm a stop: " << reply.status().message();
+               }
+             });
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/job_desk.cc
@@ -0,0 +1,295 @@
+#include "servers/batch/job_desk.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/json_reader.h"
+#include "core/logging.h"
+#include "servers/batch/job_codec.h"
+#include "servers/batch/job_state.h"
+#include "servers/batch/leader_lease.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+constexpr size_t kJobIdDigits = 16;
+// One try of a write; a slow store answers in about 0.4 s.
+constexpr Duration kCommitTimeout{900};
+constexpr Duration kReadTimeout{900};
+// Left for the answer to travel to the caller before its deadline.
+constexpr Duration kAnswerMargin{150};
+// Advice to callers while the store or the configuration is away.
+constexpr Duration kNotReadyRetry{1'000};
+
+CallAnswer Answer(CallOutcome outcome, std::string detail = "") {
+  return {.outcome = outcome, .detail = std::move(detail)};
+}
+
+CallAnswer NotReady(std::string detail) {
+  CallAnswer answer = Answer(CallOutcome::kNotReady, std::move(detail));
+  answer.retry_after = kNotReadyRetry;
+  return answer;
+}
+
+// The range that holds just this row.
+ReadRange RangeOf(const StoreKey& id) {
+  return {id.table, id.partition, id.key, id.key + '\0'};
+}
+
+}  // namespace
+
+// A row to be written once, whatever becomes of single tries.
+struct JobDesk::Write {
+  StoreKey id;
+  std::string value;
+  WorkspaceId workspace;
+  TimePoint deadline;
+  bool maybe_written = false;
+  Callback done;
+};
+
+const char* ToString(JobPhase phase) {
+  switch (phase) {
+    case JobPhase::kQueued:
+      return "queued";
+    case JobPhase::kRunning:
+      return "running";
+    case JobPhase::kComplete:
+      return "complete";
+    case JobPhase::kFailed:
+      return "failed";
+    case JobPhase::kCancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+bool IsJobId(const std::string& text) {
+  return text.size() == kJobIdDigits &&
+         std::ranges::all_of(
+             text, [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+JobDesk::JobDesk(VersionedStore& store,
+                 const Clock& clock,
+                 const SiteView& site,
+                 const LoadView& load,
+                 JobDeskOptions options)
+    : store_(store),
+      clock_(clock),
+      site_(site),
+      load_(load),
+      options_(options) {}
+
+bool JobDesk::IsReady(TimePoint now) const {
+  return site_.config() && now - site_.confirmed_at() <= options_.config_trust;
+}
+
+JobDesk::Route JobDesk::FindRoute(const CallerContext& caller,
+                                  TimePoint now) const {
+  Route route;
+  if (!IsReady(now)) {
+    route.refusal = NotReady("the configuration is not known to be current");
+    return route;
+  }
+  const SiteConfig& config = *site_.config();
+  route.queue = config.FindQueue(caller.host, caller.path);
+  if (!route.queue) {
+    route.refusal = Answer(CallOutcome::kNoSuchQueue);
+    return route;
+  }
+  const WorkspaceConfig* const workspace =
+      config.FindWorkspaceByKey(caller.key);
+  if (!workspace && !route.queue->anonymous) {
+    route.queue = nullptr;
+    route.refusal = Answer(CallOutcome::kUnknownKey);
+    return route;
+  }
+  if (workspace)
+    route.workspace = workspace->name;
+  route.rest = caller.path.substr(route.queue->prefix.size());
+  return route;
+}
+
+void JobDesk::Submit(const CallerContext& caller, JobSpec spec, Callback done) {
+  const Route route = FindRoute(caller, clock_.Now());
+  if (!route.queue) {
+    done(route.refusal);
+    return;
+  }
+  if (!IsJobId(route.rest)) {
+    done(Answer(CallOutcome::kBadRequest, "the job id must be 16 hex digits"));
+    return;
+  }
+  const QueueConfig& queue = *route.queue;
+  JobRecord record;
+  record.id = JobId(route.rest);
+  record.workspace = route.workspace;
+  record.queue = queue.name;
+  record.service = queue.service;
+  record.priority = queue.priority;
+  record.attempts = queue.attempts;
+  record.slack_factor = queue.slack_factor;
+  record.target_latency = queue.target_latency;
+  record.accepted_wall_ms = clock_.WallMillis();
+  record.spec = std::move(spec);
+  auto write = std::make_shared<Write>();
+  write->id = {kJobTable, kJobPartition, record.id.value()};
+  write->value = EncodeJobRecord(record);
+  write->workspace = record.workspace;
+  write->deadline = caller.deadline - kAnswerMargin;
+  write->done = std::move(done);
+  Commit(std::move(write));
+}
+
+void JobDesk::Commit(std::shared_ptr<Write> write) {
+  const TimePoint now = clock_.Now();
+  const Duration timeout =
+      std::min(kCommitTimeout, Duration(write->deadline - now));
+  if (timeout.count() <= 0) {
+    write->done(write->maybe_written ? Answer(CallOutcome::kOutcomeUnknown)
+                                     : NotReady("no time left to record it"));
+    return;
+  }
+  StoreTransaction transaction;
+  transaction.conditions = {{write->id, RowVersion(0)}};
+  transaction.writes = {{write->id, write->value}};
+  store_.Commit(transaction, timeout,
+                [this, write](const absl::StatusOr<CommitOutcome>& result) {
+                  OnCommitted(write, result);
+                });
+}
+
+void JobDesk::OnCommitted(const std::shared_ptr<Write>& write,
+                          const absl::StatusOr<CommitOutcome>& result) {
+  if (!result.ok()) {
+    LOG(WARNING) << "row " << write->id.table << "/" << write->id.key
+                 << " not written: " << result.status().message();
+    if (!absl::IsUnavailable(result.status())) {
+      write->maybe_written = true;
+      Commit(write);
+      return;
+    }
+    write->done(write->maybe_written ? Answer(CallOutcome::kOutcomeUnknown)
+                                     : NotReady("the store refused"));
+    return;
+  }
+  if (!result->committed && write->id.table == kJobTable &&
+      !result->current.empty()) {
+    Findings findings;
+    const auto record = DecodeJobRecord(
+        JobId(write->id.key), result->current.front().value, findings);
+    if (record && record->workspace != write->workspace) {
+      write->done(Answer(CallOutcome::kConflict, "the job id is in use"));
+      return;
+    }
+  }
+  write->done(Answer(CallOutcome::kAccepted));
+}
+
+void JobDesk::ReadRow(const StoreKey& id,
+                      TimePoint deadline,
+                      VersionedStore::ReadCallback done) {
+  const Duration left = deadline - kAnswerMargin - clock_.Now();
+  store_.Read(RangeOf(id), std::clamp(left, Duration(1), kReadTimeout),
+              std::move(done));
+}
+
+void JobDesk::ReadJob(const JobId& id,
+                      const WorkspaceId& workspace,
+                      TimePoint deadline,
+                      std::function<void(CallAnswer)> done) {
+  ReadRow(
+      {kJobTable, kJobPartition, id.value()}, deadline,
+      [id, workspace,
+       done = std::move(done)](const absl::StatusOr<StoreSnapshot>& result) {
+        if (!result.ok()) {
+          done(NotReady("the store does not answer"));
+          return;
+        }
+        if (result->rows.empty()) {
+          done(Answer(CallOutcome::kNoSuchJob));
+          return;
+        }
+        Findings findings;
+        const auto record =
+            DecodeJobRecord(id, result->rows.front().value, findings);
+        if (!record) {
+          LOG(ERROR) << "job " << id
+                     << " cannot be read: " << findings.ToString();
+          done(NotReady("the job cannot be read"));
+          return;
+        }
+        done(Answer(record->workspace == workspace ? CallOutcome::kFound
+                                                   : CallOutcome::kNoSuchJob));
+      });
+}
+
+void JobDesk::Cancel(const CallerContext& caller, Callback done) {
+  const Route route = FindRoute(caller, clock_.Now());
+  if (!route.queue) {
+    done(route.refusal);
+    return;
+  }
+  const JobId id(route.rest);
+  ReadJob(id, route.workspace, caller.deadline,
+          [this, id, caller, done = std::move(done)](CallAnswer answer) {
+            if (answer.outcome != CallOutcome::kFound) {
+              done(answer);
+              return;
+            }
+            auto write = std::make_shared<Write>();
+            write->id = {kCancelTable, kCancelPartition, id.value()};
+            write->value = "{}";
+            write->deadline = caller.deadline - kAnswerMargin;
+            write->done = done;
+            Commit(std::move(write));
+          });
+}
+
+void JobDesk::State(const CallerContext& caller, Callback done) {
+  const Route route = FindRoute(caller, clock_.Now());
+  if (!route.queue) {
+    done(route.refusal);
+    return;
+  }
+  const JobId id(route.rest);
+  const WorkspaceId workspace = route.workspace;
+  ReadRow(
+      {kStateTable, kLeaderPartition, id.value()}, caller.deadline,
+      [this, id, workspace, deadline = caller.deadline,
+       done = std::move(done)](const absl::StatusOr<StoreSnapshot>& result) {
+        if (!result.ok()) {
+          done(NotReady("the store does not answer"));
+          return;
+        }
+        if (!result->rows.empty()) {
+          const std::optional<StateSummary> summary =
+              DecodeStateSummary(result->rows.front().value);
+          if (summary && summary->workspace == workspace) {
+            CallAnswer answer = Answer(CallOutcome::kFound);
+            answer.phase = summary->phase;
+            done(answer);
+            return;
+          }
+        }
+        ReadJob(id, workspace, deadline, done);
+      });
+}
+
+void JobDesk::Pending(const CallerContext& caller, Callback done) {
+  const Route route = FindRoute(caller, clock_.Now());
+  if (!route.queue) {
+    done(route.refusal);
+    return;
+  }
+  CallAnswer answer = Answer(CallOutcome::kFound);
+  answer.pending = load_.Find(route.queue->name).pending;
+  done(answer);
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/job_desk.h
@@ -0,0 +1,117 @@
+// Serves callers: takes jobs in, cancels them and tells their state. Any node
+// does so, since all that matters is a row of the store.
+
+#ifndef SERVERS_BATCH_JOB_DESK_H_
+#define SERVERS_BATCH_JOB_DESK_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/platform/versioned_store.h"
+#include "core/time.h"
+#include "servers/batch/load_report.h"
+#include "servers/batch/site_view.h"
+#include "servers/batch/types.h"
+
+namespace quetzalshelf::batch {
+
+// Tables of the store and their partitions.
+inline constexpr char kJobTable[] = "jobs";
+inline constexpr char kJobPartition[] = "jobs";
+inline constexpr char kCancelTable[] = "cancels";
+inline constexpr char kCancelPartition[] = "cancels";
+inline constexpr char kStateTable[] = "states";
+
+enum class JobPhase { kQueued, kRunning, kComplete, kFailed, kCancelled };
+
+const char* ToString(JobPhase phase);
+
+enum class CallOutcome {
+  kAccepted,  // Submitted or cancelled, now or by an earlier call.
+  kFound,     // The state or the count is in the answer.
+  kNoSuchJob,
+  kNoSuchQueue,
+  kUnknownKey,
+  kBadRequest,
+  kConflict,       // Another workspace has a job of that id.
+  kOverloaded,     // Not accepted; the job never runs unless sent again.
+  kNotReady,       // Nothing was done.
+  kOutcomeUnknown  // The change may have taken effect; send it again.
+};
+
+struct CallAnswer {
+  CallOutcome outcome = CallOutcome::kNotReady;
+  JobPhase phase = JobPhase::kQueued;
+  int64_t pending = 0;
+  Duration retry_after{0};  // 0: no advice.
+  std::string detail;
+};
+
+// Who calls which queue.
+struct CallerContext {
+  std::string host;
+  std::string path;
+  std::string key;     // Empty when the call carries none.
+  TimePoint deadline;  // The caller waits until then.
+};
+
+struct JobDeskOptions {
+  // A configuration that was not confirmed for this long is not relied on, so
+  // that a key that was taken away stops working on a node that is cut off.
+  Duration config_trust{2'800};
+};
+
+class JobDesk {
+ public:
+  using Callback = std::function<void(CallAnswer)>;
+
+  JobDesk(VersionedStore& store,
+          const Clock& clock,
+          const SiteView& site,
+          const LoadView& load,
+          JobDeskOptions options);
+
+  // The queue of a call and the rest of its path, or the reason to refuse it.
+  struct Route {
+    const QueueConfig* queue = nullptr;
+    WorkspaceId workspace;
+    std::string rest;
+    CallAnswer refusal;
+  };
+  Route FindRoute(const CallerContext& caller, TimePoint now) const;
+
+  void Submit(const CallerContext& caller, JobSpec spec, Callback done);
+  void Cancel(const CallerContext& caller, Callback done);
+  void State(const CallerContext& caller, Callback done);
+  void Pending(const CallerContext& caller, Callback done);
+
+  bool IsReady(TimePoint now) const;
+
+ private:
+  struct Write;
+
+  void Commit(std::shared_ptr<Write> write);
+  void OnCommitted(const std::shared_ptr<Write>& write,
+                   const absl::StatusOr<CommitOutcome>& result);
+  void ReadJob(const JobId& id,
+               const WorkspaceId& workspace,
+               TimePoint deadline,
+               std::function<void(CallAnswer)> done);
+  void ReadRow(const StoreKey& id,
+               TimePoint deadline,
+               VersionedStore::ReadCallback done);
+
+  VersionedStore& store_;
+  const Clock& clock_;
+  const SiteView& site_;
+  const LoadView& load_;
+  JobDeskOptions options_;
+};
+
+// Whether `text` is the id of a job: 16 hexadecimal digits.
+bool IsJobId(const std::string& text);
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_JOB_DESK_H_
--- /dev/null
+++ b/servers/batch/job_state.cc
@@ -0,0 +1,316 @@
+#include "servers/batch/job_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr JobPhase kPhases[] = {JobPhase::kQueued, JobPhase::kRunning,
+                                JobPhase::kComplete, JobPhase::kFailed,
+                                JobPhase::kCancelled};
+
+// Columns of a task in a state row; tasks without any progress are left out.
+enum TaskColumn {
+  kOccurrence,
+  kStep,
+  kIndex,
+  kDone,
+  kAttempt,
+  kFailures,
+  kCheckpoint,
+  kWorker,  // Empty when the task has no run.
+  kTaskColumns
+};
+
+bool HasProgress(const TaskProgress& task) {
+  return task.done || task.attempt.value() > 0;
+}
+
+std::optional<JobPhase> FindPhase(const std::string& name) {
+  for (const JobPhase it : kPhases) {
+    if (name == ToString(it))
+      return it;
+  }
+  return std::nullopt;
+}
+
+bool IsReadableTask(const json& row) {
+  return row.is_array() && row.size() >= kTaskColumns &&
+         row[kOccurrence].is_number() && row[kStep].is_number() &&
+         row[kIndex].is_number() && row[kDone].is_number() &&
+         row[kAttempt].is_number() && row[kFailures].is_number() &&
+         row[kCheckpoint].is_string() && row[kWorker].is_string();
+}
+
+}  // namespace
+
+std::optional<StateSummary> DecodeStateSummary(const std::string& value) {
+  const json body = json::parse(value, nullptr, false);
+  if (!body.is_object())
+    return std::nullopt;
+  const std::optional<JobPhase> phase = FindPhase(body.value("phase", ""));
+  if (!phase)
+    return std::nullopt;
+  return StateSummary{WorkspaceId(body.value("workspace", "")), *phase};
+}
+
+Job::Job(JobRecord record, TimePoint now, Duration age)
+    : record_(std::move(record)), accepted_at_(now - age) {
+  const Recurrence& recurrence = record_.spec.recurrence;
+  occurrences_.resize(static_cast<size_t>(std::max(1, recurrence.occurrences)));
+  for (size_t n = 0; n < occurrences_.size(); ++n) {
+    OccurrenceProgress& occurrence = occurrences_[n];
+    if (recurrence.occurrences > 0) {
+      occurrence.due_wall_ms =
+          recurrence.first_wall_ms +
+          static_cast<int64_t>(n) * recurrence.period.count();
+    }
+    occurrence.steps.resize(record_.spec.steps.size());
+    for (size_t step = 0; step < occurrence.steps.size(); ++step) {
+      occurrence.steps[step].tasks.resize(
+          static_cast<size_t>(record_.spec.steps[step].tasks));
+    }
+  }
+}
+
+StepProgress* Job::FindStep(const TaskId& task) {
+  const auto occurrence = static_cast<size_t>(task.occurrence);
+  const auto step = static_cast<size_t>(task.step);
+  if (occurrence >= occurrences_.size() ||
+      step >= occurrences_[occurrence].steps.size())
+    return nullptr;
+  return &occurrences_[occurrence].steps[step];
+}
+
+TaskProgress* Job::Find(const TaskId& task) {
+  StepProgress* const step = FindStep(task);
+  const auto index = static_cast<size_t>(task.index);
+  if (!step || index >= step->tasks.size())
+    return nullptr;
+  return &step->tasks[index];
+}
+
+bool Job::IsDone(const StepProgress& step) {
+  return std::ranges::all_of(step.tasks, &TaskProgress::done);
+}
+
+bool Job::HasRuns(const StepProgress& step) {
+  return std::ranges::any_of(
+      step.tasks, [](const TaskProgress& it) { return it.run.has_value(); });
+}
+
+bool Job::DependenciesDone(const OccurrenceProgress& occurrence,
+                           int step) const {
+  return std::ranges::all_of(spec(step).depends_on, [&](int earlier) {
+    return earlier >= 0 && earlier < step &&
+           IsDone(occurrence.steps[static_cast<size_t>(earlier)]);
+  });
+}
+
+bool Job::ApplyEnd(const TaskId& id,
+                   Attempt attempt,
+                   EndReason reason,
+                   const std::string& checkpoint,
+                   const WorkerId& worker) {
+  TaskProgress* const task = Find(id);
+  if (!task || attempt > task->attempt)
+    return false;
+  StepProgress& step = *FindStep(id);
+  const StepSpec& spec = this->spec(id.step);
+  const bool current =
+      task->run && task->run->attempt == attempt && task->run->worker == worker;
+  if (current)
+    task->run.reset();
+  if (reason == EndReason::kDone && !spec.long_running) {
+    const bool changed = current || !task->done;
+    task->done = true;
+    if (spec.gang) {
+      // One end stands for the whole gang.
+      for (TaskProgress& it : step.tasks)
+        it.done = true;
+    }
+    return changed;
+  }
+  if (!current)
+    return false;
+  if (!checkpoint.empty()) {
+    task->checkpoint = checkpoint;
+    if (spec.gang) {
+      for (TaskProgress& it : step.tasks)
+        it.checkpoint = checkpoint;
+    }
+  }
+  if (reason == EndReason::kFailed) {
+    task->failed_on.insert(worker);
+    if (!spec.gang) {
+      ++task->failures;
+    } else if (step.failed_attempt < attempt) {
+      step.failed_attempt = attempt;
+      for (TaskProgress& it : step.tasks)
+        ++it.failures;
+    }
+  }
+  return true;
+}
+
+bool Job::ApplyLoss(const TaskId& id, Attempt attempt) {
+  TaskProgress* const task = Find(id);
+  if (!task || !task->run || task->run->attempt != attempt)
+    return false;
+  task->run.reset();
+  return true;
+}
+
+void Job::SaveCheckpoint(const TaskId& id,
+                         const std::string& checkpoint,
+                         TimePoint now) {
+  TaskProgress* const task = Find(id);
+  if (!task || checkpoint.empty() || task->checkpoint == checkpoint)
+    return;
+  if (!spec(id.step).gang) {
+    task->checkpoint = checkpoint;
+    if (task->run)
+      task->run->saved_at = now;
+    return;
+  }
+  for (TaskProgress& it : FindStep(id)->tasks) {
+    it.checkpoint = checkpoint;
+    if (it.run)
+      it.run->saved_at = now;
+  }
+}
+
+void Job::ForEachTask(
+    const std::function<void(const TaskId&, const TaskProgress&)>& visit)
+    const {
+  TaskId id{record_.id};
+  for (id.occurrence = 0; id.occurrence < static_cast<int>(occurrences_.size());
+       ++id.occurrence) {
+    const auto& steps = occurrences_[static_cast<size_t>(id.occurrence)].steps;
+    for (id.step = 0; id.step < static_cast<int>(steps.size()); ++id.step) {
+      const auto& tasks = steps[static_cast<size_t>(id.step)].tasks;
+      for (id.index = 0; id.index < static_cast<int>(tasks.size()); ++id.index)
+        visit(id, tasks[static_cast<size_t>(id.index)]);
+    }
+  }
+}
+
+bool Job::HasFailed() const {
+  bool failed = false;
+  ForEachTask([&](const TaskId& id, const TaskProgress& task) {
+    failed = failed || (!spec(id.step).long_running && !task.done &&
+                        task.failures >= record_.attempts);
+  });
+  return failed;
+}
+
+bool Job::HasAnyRun() const {
+  bool any = false;
+  ForEachTask([&](const TaskId&, const TaskProgress& task) {
+    any = any || task.run.has_value();
+  });
+  return any;
+}
+
+JobPhase Job::phase() const {
+  const bool complete =
+      std::ranges::all_of(occurrences_, [](const OccurrenceProgress& it) {
+        return std::ranges::all_of(it.steps, &Job::IsDone);
+      });
+  if (complete)
+    return JobPhase::kComplete;
+  if (cancelled_)
+    return JobPhase::kCancelled;
+  if (HasFailed())
+    return JobPhase::kFailed;
+  return begun_ ? JobPhase::kRunning : JobPhase::kQueued;
+}
+
+bool Job::IsFinal() const {
+  const JobPhase now = phase();
+  return now != JobPhase::kQueued && now != JobPhase::kRunning;
+}
+
+Attempt Job::NextAttempt(const StepProgress& step) {
+  Attempt highest;
+  for (const TaskProgress& it : step.tasks)
+    highest = std::max(highest, it.attempt);
+  return highest.Next();
+}
+
+Duration Job::ChainEstimate() const {
+  std::vector<Duration> ends;
+  for (const StepSpec& it : record_.spec.steps) {
+    Duration start{0};
+    for (const int earlier : it.depends_on) {
+      if (earlier >= 0 && static_cast<size_t>(earlier) < ends.size())
+        start = std::max(start, ends[static_cast<size_t>(earlier)]);
+    }
+    ends.push_back(start + it.estimate);
+  }
+  return ends.empty() ? Duration(0) : *std::ranges::max_element(ends);
+}
+
+TimePoint Job::Objective() const {
+  const double chain = static_cast<double>(ChainEstimate().count());
+  return accepted_at_ +
+         Duration(static_cast<int64_t>(record_.slack_factor * chain)) +
+         record_.target_latency;
+}
+
+std::string Job::EncodeState() const {
+  json tasks = json::array();
+  ForEachTask([&](const TaskId& id, const TaskProgress& task) {
+    if (!HasProgress(task))
+      return;
+    tasks.push_back({id.occurrence, id.step, id.index, task.done ? 1 : 0,
+                     task.attempt.value(), task.failures, task.checkpoint,
+                     task.run ? task.run->worker.value() : ""});
+  });
+  const json body = {{"workspace", record_.workspace.value()},
+                     {"phase", ToString(phase())},
+                     {"begun", begun_},
+                     {"tasks", std::move(tasks)}};
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool Job::RestoreState(const std::string& value, TimePoint now) {
+  const json body = json::parse(value, nullptr, false);
+  if (!body.is_object() || !body.contains("tasks"))
+    return false;
+  begun_ = body.value("begun", false);
+  cancelled_ =
+      body.value("phase", "") == std::string(ToString(JobPhase::kCancelled));
+  for (const json& row : body["tasks"]) {
+    if (!IsReadableTask(row))
+      return false;
+    const TaskId id{record_.id, row[kOccurrence].get<int>(),
+                    row[kStep].get<int>(), row[kIndex].get<int>()};
+    TaskProgress* const task = Find(id);
+    if (!task)
+      return false;
+    task->done = row[kDone].get<int>() != 0;
+    task->attempt = Attempt(row[kAttempt].get<uint64_t>());
+    task->failures = row[kFailures].get<int>();
+    task->checkpoint = row[kCheckpoint].get<std::string>();
+    const WorkerId worker(row[kWorker].get<std::string>());
+    if (!worker.empty()) {
+      task->run = Run{.worker = worker,
+                      .attempt = task->attempt,
+                      .phase = RunPhase::kRecovered,
+                      .phase_since = now,
+                      .started_at = now,
+                      .progressed_at = now,
+                      .saved_at = now};
+    }
+  }
+  return true;
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/job_state.h
@@ -0,0 +1,160 @@
+// Progress of one job: its tasks, their runs on workers, and its row in the
+// store. Holds the transitions; what is started where is decided elsewhere.
+
+#ifndef SERVERS_BATCH_JOB_STATE_H_
+#define SERVERS_BATCH_JOB_STATE_H_
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/finding.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "servers/batch/job_desk.h"
+#include "servers/batch/types.h"
+#include "servers/batch/worker_port.h"
+
+namespace quetzalshelf::batch {
+
+enum class RunPhase {
+  kRecording,  // Not yet in the store; no order was sent.
+  kStarting,   // In the store; the order has no certain outcome yet.
+  kRunning,    // The worker confirmed the start.
+  kStopping,   // To be stopped, or not known to be absent.
+  kRecovered,  // Taken from the store after a change of leader.
+};
+
+// One attempt of a task on a worker. It counts as running until the worker
+// lists its end, is known not to have it, or its lease has lapsed.
+struct Run {
+  WorkerId worker;
+  Attempt attempt;
+  RunPhase phase = RunPhase::kRecording;
+  TimePoint phase_since;
+  uint64_t revision = 0;   // Of the job, from which on it is in the store.
+  bool in_flight = false;  // An order waits for its answer.
+  bool uncertain = false;  // An order had no answer.
+  TimePoint next_try;
+  TimePoint confirmed_at;  // The start or the stop was answered.
+  bool stop_confirmed = false;
+  int percent = 0;
+  TimePoint started_at;
+  TimePoint progressed_at;
+  TimePoint saved_at;  // When the checkpoint last changed, or the start.
+};
+
+struct TaskProgress {
+  bool done = false;
+  Attempt attempt;  // Highest that was recorded.
+  int failures = 0;
+  std::string checkpoint;
+  std::optional<Run> run;
+  std::set<WorkerId> failed_on;
+};
+
+struct StepProgress {
+  std::vector<TaskProgress> tasks;
+  Attempt failed_attempt;  // Of a gang, the last that was counted as failed.
+  TimePoint retry_at;      // Not to be started before.
+  TimePoint ready_since;   // All dependencies are done.
+  // Workers held for this gang while their runs are stopped, one a task.
+  std::vector<WorkerId> reserved;
+  TimePoint reserved_at;
+};
+
+struct OccurrenceProgress {
+  int64_t due_wall_ms = 0;  // 0: at once.
+  std::vector<StepProgress> steps;
+};
+
+// What a state row tells the job desk.
+struct StateSummary {
+  WorkspaceId workspace;
+  JobPhase phase = JobPhase::kQueued;
+};
+
+std::optional<StateSummary> DecodeStateSummary(const std::string& value);
+
+class Job {
+ public:
+  // `age` is the time since the job was accepted.
+  Job(JobRecord record, TimePoint now, Duration age);
+
+  const JobRecord& record() const { return record_; }
+  const StepSpec& spec(int step) const {
+    return record_.spec.steps[static_cast<size_t>(step)];
+  }
+  std::vector<OccurrenceProgress>& occurrences() { return occurrences_; }
+  const std::vector<OccurrenceProgress>& occurrences() const {
+    return occurrences_;
+  }
+  TimePoint accepted_at() const { return accepted_at_; }
+
+  // Null when the job has no such task.
+  TaskProgress* Find(const TaskId& task);
+  StepProgress* FindStep(const TaskId& task);
+
+  // Whether all steps that `step` depends on are done.
+  bool DependenciesDone(const OccurrenceProgress& occurrence, int step) const;
+  static bool IsDone(const StepProgress& step);
+  static bool HasRuns(const StepProgress& step);
+
+  // Applies the end of a run. False when it changes nothing, as for an end
+  // that was applied before. A run that has ended done is done for good.
+  bool ApplyEnd(const TaskId& task,
+                Attempt attempt,
+                EndReason reason,
+                const std::string& checkpoint,
+                const WorkerId& worker);
+  // The run is known to be gone without an end. False when there is none.
+  bool ApplyLoss(const TaskId& task, Attempt attempt);
+  void SaveCheckpoint(const TaskId& task,
+                      const std::string& checkpoint,
+                      TimePoint now);
+
+  void Cancel() { cancelled_ = true; }
+  bool cancelled() const { return cancelled_; }
+  // Complete, failed or cancelled: no task may start.
+  bool IsFinal() const;
+  JobPhase phase() const;
+  // Whether any task was ever started.
+  bool begun() const { return begun_; }
+  void set_begun() { begun_ = true; }
+  bool HasAnyRun() const;
+
+  // The next attempt number of a step's tasks; gangs share one.
+  static Attempt NextAttempt(const StepProgress& step);
+
+  // Longest chain of estimated run times through the steps.
+  Duration ChainEstimate() const;
+  // When the job has to be complete to count as on time.
+  TimePoint Objective() const;
+
+  std::string EncodeState() const;
+  // Takes over the progress of a state row. False when it cannot be read.
+  bool RestoreState(const std::string& value, TimePoint now);
+
+  // Grows with each change that must be in the store.
+  uint64_t revision = 0;
+  uint64_t committed_revision = 0;
+  RowVersion row_version;
+  TimePoint final_since;
+
+ private:
+  void ForEachTask(const std::function<void(const TaskId&,
+                                            const TaskProgress&)>& visit) const;
+  bool HasFailed() const;
+
+  JobRecord record_;
+  std::vector<OccurrenceProgress> occurrences_;
+  TimePoint accepted_at_;
+  bool cancelled_ = false;
+  bool begun_ = false;
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_JOB_STATE_H_
--- /dev/null
+++ b/servers/batch/leader_lease.cc
@@ -0,0 +1,216 @@
+#include "servers/batch/leader_lease.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "core/logging.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kCommitTimeout{800};
+// Pause after a failed heartbeat or a lost race.
+constexpr Duration kRetry{150};
+
+}  // namespace
+
+StoreKey EpochRowKey() {
+  return {kControlTable, kLeaderPartition, "epoch"};
+}
+
+StoreKey HeartbeatRowKey() {
+  return {kControlTable, kLeaderPartition, "heartbeat"};
+}
+
+LeaderLease::LeaderLease(VersionedStore& store,
+                         const Clock& clock,
+                         LeaderLeaseOptions options,
+                         uint64_t seed)
+    : store_(store),
+      clock_(clock),
+      options_(std::move(options)),
+      random_(seed),
+      jitter_(random_.Between(0, options_.takeover_jitter.count())) {}
+
+LeaderLease::~LeaderLease() {
+  *alive_ = false;
+}
+
+void LeaderLease::set_report_source(ReportSource source) {
+  report_source_ = std::move(source);
+}
+
+void LeaderLease::OnRows(const std::vector<StoreRow>& rows, TimePoint now) {
+  for (const StoreRow& it : rows) {
+    const json value = json::parse(it.value, nullptr, false);
+    if (!value.is_object()) {
+      LOG(WARNING) << "control row " << it.id.key << " cannot be read";
+      continue;
+    }
+    if (it.id == EpochRowKey() && it.version > epoch_row_.version) {
+      epoch_row_ = {Epoch(value.value("epoch", uint64_t{0})), it.version};
+      epoch_holder_ = IncarnationId(value.value("incarnation", ""));
+      released_ = false;
+      heartbeat_at_ = now;
+    }
+    if (it.id == HeartbeatRowKey() && it.version > heartbeat_version_) {
+      heartbeat_version_ = it.version;
+      heartbeat_at_ = now;
+      released_ = value.value("released", false);
+      report_ = value.value("report", "");
+    }
+  }
+  if (leading_ && epoch_row_.epoch > proof_.epoch)
+    StepDown("a newer epoch was written");
+  // A late write of this incarnation counts as well.
+  const bool own = epoch_holder_ == options_.incarnation;
+  if (!leading_ && own && !released_ && epoch_row_.epoch > proof_.epoch)
+    Lead(epoch_row_);
+}
+
+void LeaderLease::Tick(TimePoint now,
+                       TimePoint steady_since,
+                       TimePoint confirmed_at) {
+  if (busy_ || now < next_try_)
+    return;
+  if (leading_) {
+    if (now >= next_heartbeat_)
+      SendHeartbeat(now);
+    return;
+  }
+  if (retired_)
+    return;
+  if (released_) {
+    // The jitter keeps candidates from racing on the same row version.
+    if (now >= heartbeat_at_ + jitter_ / 3)
+      Acquire(now);
+    return;
+  }
+  const TimePoint silent_since = std::max(heartbeat_at_, steady_since);
+  if (confirmed_at >= silent_since + options_.takeover + jitter_ ||
+      epoch_row_.version == RowVersion(0))
+    Acquire(now);
+}
+
+void LeaderLease::Acquire(TimePoint now) {
+  busy_ = true;
+  next_try_ = now + kRetry;
+  const Epoch epoch = epoch_row_.epoch.Next();
+  const json value = {{"epoch", epoch.value()},
+                      {"node", options_.node.value()},
+                      {"incarnation", options_.incarnation.value()}};
+  StoreTransaction transaction;
+  transaction.conditions = {{EpochRowKey(), epoch_row_.version},
+                            {HeartbeatRowKey(), heartbeat_version_}};
+  transaction.writes = {{EpochRowKey(), value.dump()},
+                        {HeartbeatRowKey(), HeartbeatValue(false)}};
+  LOG(INFO) << "taking over as leader: epoch=" << epoch
+            << " released=" << released_
+            << " silence_ms=" << (now - heartbeat_at_).count();
+  store_.Commit(transaction, kCommitTimeout,
+                [this, alive = alive_,
+                 epoch](const absl::StatusOr<CommitOutcome>& result) {
+                  if (*alive)
+                    OnAcquired(result, epoch);
+                });
+}
+
+void LeaderLease::OnAcquired(const absl::StatusOr<CommitOutcome>& result,
+                             Epoch epoch) {
+  busy_ = false;
+  jitter_ = Duration(random_.Between(0, options_.takeover_jitter.count()));
+  if (!result.ok()) {
+    // The feed of the control table tells whether the write took effect.
+    LOG(WARNING) << "take-over has no known outcome: epoch=" << epoch << ": "
+                 << result.status().message();
+    return;
+  }
+  if (!result->committed) {
+    LOG(INFO) << "another node took over first: epoch=" << epoch;
+    OnRows(result->current, clock_.Now());
+    return;
+  }
+  heartbeat_version_ = std::max(heartbeat_version_, result->version);
+  heartbeat_at_ = clock_.Now();
+  epoch_row_ = {epoch, result->version};
+  epoch_holder_ = options_.incarnation;
+  released_ = false;
+  if (!leading_)
+    Lead(epoch_row_);
+}
+
+void LeaderLease::Lead(const EpochProof& proof) {
+  if (retired_)
+    return;
+  leading_ = true;
+  proof_ = proof;
+  next_heartbeat_ = TimePoint();
+  LOG(INFO) << "leading: epoch=" << proof.epoch;
+}
+
+void LeaderLease::SendHeartbeat(TimePoint now) {
+  busy_ = true;
+  next_heartbeat_ = now + options_.heartbeat;
+  StoreTransaction transaction;
+  transaction.conditions = {{EpochRowKey(), proof_.version}};
+  transaction.writes = {{HeartbeatRowKey(), HeartbeatValue(false)}};
+  store_.Commit(
+      transaction, kCommitTimeout,
+      [this, alive = alive_](const absl::StatusOr<CommitOutcome>& result) {
+        if (*alive)
+          OnHeartbeat(result);
+      });
+}
+
+void LeaderLease::OnHeartbeat(const absl::StatusOr<CommitOutcome>& result) {
+  busy_ = false;
+  if (!result.ok()) {
+    next_try_ = clock_.Now() + kRetry;
+    next_heartbeat_ = next_try_;
+    LOG(WARNING) << "heartbeat failed: " << result.status().message();
+    return;
+  }
+  if (!result->committed)
+    OnRows(result->current, clock_.Now());
+}
+
+void LeaderLease::Release(TimePoint now) {
+  retired_ = true;
+  if (!leading_)
+    return;
+  LOG(INFO) << "giving up leadership: epoch=" << proof_.epoch;
+  leading_ = false;
+  next_heartbeat_ = now;
+  StoreTransaction transaction;
+  transaction.conditions = {{EpochRowKey(), proof_.version}};
+  transaction.writes = {{HeartbeatRowKey(), HeartbeatValue(true)}};
+  store_.Commit(transaction, kCommitTimeout,
+                [](const absl::StatusOr<CommitOutcome>& result) {
+                  if (!result.ok())
+                    LOG(WARNING) << "giving up leadership was not recorded: "
+                                 << result.status().message();
+                });
+}
+
+void LeaderLease::StepDown(const std::string& reason) {
+  if (!leading_)
+    return;
+  LOG(WARNING) << "no longer leading: epoch=" << proof_.epoch << ": " << reason;
+  leading_ = false;
+}
+
+std::string LeaderLease::HeartbeatValue(bool released) const {
+  json value = {{"node", options_.node.value()}};
+  if (released)
+    value["released"] = true;
+  if (report_source_)
+    value["report"] = report_source_();
+  return value.dump();
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/leader_lease.h
@@ -0,0 +1,107 @@
+// Election of the node that schedules. Leadership is a row of the store that
+// is replaced under a condition; each new leader has a higher epoch.
+
+#ifndef SERVERS_BATCH_LEADER_LEASE_H_
+#define SERVERS_BATCH_LEADER_LEASE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/platform/versioned_store.h"
+#include "core/random.h"
+#include "core/time.h"
+
+namespace quetzalshelf::batch {
+
+// Partition of all rows that only the leader writes.
+inline constexpr char kLeaderPartition[] = "leader";
+inline constexpr char kControlTable[] = "control";
+
+struct LeaderLeaseOptions {
+  NodeId node;
+  IncarnationId incarnation;
+  // Between two heartbeats of the leader.
+  Duration heartbeat{400};
+  // Silence of the leader, while the store answers, after which another node
+  // takes over. Several heartbeats, so that a slow store does not depose it.
+  Duration takeover{1'500};
+  // Spreads the candidates, so that one of them usually wins alone.
+  Duration takeover_jitter{300};
+};
+
+// The row that proves leadership; conditions on it fence a deposed leader.
+struct EpochProof {
+  Epoch epoch;
+  RowVersion version;
+};
+
+StoreKey EpochRowKey();
+StoreKey HeartbeatRowKey();
+
+class LeaderLease {
+ public:
+  // What the leader tells all nodes with each heartbeat.
+  using ReportSource = std::function<std::string()>;
+
+  LeaderLease(VersionedStore& store,
+              const Clock& clock,
+              LeaderLeaseOptions options,
+              uint64_t seed);
+  ~LeaderLease();
+
+  void set_report_source(ReportSource source);
+
+  // Rows of the control table, as read or changed.
+  void OnRows(const std::vector<StoreRow>& rows, TimePoint now);
+  // `steady_since` and `confirmed_at` are those of the follower of the control
+  // table: silence counts only while the store answers this node.
+  void Tick(TimePoint now, TimePoint steady_since, TimePoint confirmed_at);
+  // Gives leadership up, so that another node takes over at once.
+  void Release(TimePoint now);
+  // Another epoch has been seen; the caller has stopped to act.
+  void StepDown(const std::string& reason);
+
+  bool is_leader() const { return leading_; }
+  const EpochProof& proof() const { return proof_; }
+  // The newest report of the leader and when it arrived.
+  const std::string& report() const { return report_; }
+  TimePoint report_at() const { return heartbeat_at_; }
+
+ private:
+  void Acquire(TimePoint now);
+  void SendHeartbeat(TimePoint now);
+  void Lead(const EpochProof& proof);
+  void OnAcquired(const absl::StatusOr<CommitOutcome>& result, Epoch epoch);
+  void OnHeartbeat(const absl::StatusOr<CommitOutcome>& result);
+  std::string HeartbeatValue(bool released) const;
+
+  VersionedStore& store_;
+  const Clock& clock_;
+  LeaderLeaseOptions options_;
+  Random random_;
+  ReportSource report_source_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+  // The rows as last seen.
+  EpochProof epoch_row_;
+  IncarnationId epoch_holder_;
+  RowVersion heartbeat_version_;
+  TimePoint heartbeat_at_;
+  bool released_ = false;
+  std::string report_;
+
+  bool leading_ = false;
+  bool retired_ = false;  // Gave leadership up and does not want it again.
+  bool busy_ = false;
+  EpochProof proof_;
+  TimePoint next_heartbeat_;
+  TimePoint next_try_;
+  Duration jitter_{0};
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_LEADER_LEASE_H_
--- /dev/null
+++ b/servers/batch/placement.cc
@@ -0,0 +1,176 @@
+#include "servers/batch/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <tuple>
+#include <utility>
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+constexpr int kNoLimit = std::numeric_limits<int>::max();
+
+template <typename Amount>
+int Ratio(Amount free, Amount each) {
+  if (each.value() <= 0)
+    return kNoLimit;
+  return static_cast<int>(std::max<int64_t>(0, free.value() / each.value()));
+}
+
+// A group of candidates with the number of tasks that each can take.
+struct Group {
+  std::vector<std::pair<size_t, int>> fits;
+  int total = 0;
+  bool holds_data = false;
+};
+
+// Best fit: candidates without trouble first, then near the data, then those
+// with the fewest free accelerators.
+std::vector<size_t> PackingOrder(const std::vector<Candidate>& candidates,
+                                 const Demand& demand) {
+  std::vector<size_t> order(candidates.size());
+  std::iota(order.begin(), order.end(), size_t{0});
+  const auto key = [&](size_t n) {
+    const Candidate& it = candidates[n];
+    const bool far =
+        !demand.data_rack.empty() && it.worker->rack != demand.data_rack;
+    return std::tuple(it.penalty, far, it.free.accelerators, it.free.memory, n);
+  };
+  std::ranges::sort(order, {}, key);
+  return order;
+}
+
+std::map<RackId, Group> GroupByRack(const std::vector<Candidate>& candidates,
+                                    const Demand& demand) {
+  std::map<RackId, Group> racks;
+  for (const size_t n : PackingOrder(candidates, demand)) {
+    const Candidate& it = candidates[n];
+    const int fits = CountFits(*it.worker, it.free, demand);
+    if (fits <= 0)
+      continue;
+    Group& group = racks[it.worker->rack];
+    group.fits.emplace_back(n, fits);
+    group.total += std::min(fits, demand.tasks);
+    group.holds_data = it.worker->rack == demand.data_rack;
+  }
+  return racks;
+}
+
+// Takes up to `count` tasks from the group in its order.
+void Take(const Group& group, int count, Placement& placement) {
+  for (const auto& [index, fits] : group.fits) {
+    for (int n = 0; n < fits && count > 0; ++n, --count)
+      placement.push_back(index);
+  }
+}
+
+}  // namespace
+
+Demand MakeDemand(const StepSpec& step, int tasks) {
+  Demand demand;
+  demand.tasks = tasks;
+  demand.each = step.resources;
+  if (step.fills)
+    demand.each.cpu = MilliCores(0);
+  demand.rack_local = step.rack_local;
+  demand.data_rack = step.data_rack;
+  demand.required_label = step.required_label;
+  demand.max_per_worker = step.max_per_worker;
+  return demand;
+}
+
+bool IsEligible(const WorkerEntry& worker, const Demand& demand) {
+  if (demand.avoid.contains(worker.id))
+    return false;
+  return demand.required_label.empty() ||
+         std::ranges::find(worker.labels, demand.required_label) !=
+             worker.labels.end();
+}
+
+int CountFits(const WorkerEntry& worker,
+              const Resources& free,
+              const Demand& demand) {
+  if (!IsEligible(worker, demand))
+    return 0;
+  int fits = std::min({Ratio(free.accelerators, demand.each.accelerators),
+                       Ratio(free.cpu, demand.each.cpu),
+                       Ratio(free.memory, demand.each.memory), demand.tasks});
+  if (demand.max_per_worker > 0) {
+    const auto present =
+        static_cast<int>(std::ranges::count(demand.present, worker.id));
+    fits = std::min(fits, demand.max_per_worker - present);
+  }
+  return std::max(0, fits);
+}
+
+std::optional<Placement> PlaceGang(const std::vector<Candidate>& candidates,
+                                   const Demand& demand,
+                                   bool allow_spread) {
+  const std::map<RackId, Group> racks = GroupByRack(candidates, demand);
+  Placement placement;
+  // The rack with the data, else the fullest one that still has room.
+  const Group* best = nullptr;
+  for (const auto& [rack, group] : racks) {
+    if (group.total < demand.tasks)
+      continue;
+    const auto key = [](const Group& it) {
+      return std::tuple(!it.holds_data, it.total);
+    };
+    if (!best || key(group) < key(*best))
+      best = &group;
+  }
+  if (best) {
+    Take(*best, demand.tasks, placement);
+    return placement;
+  }
+  if (demand.rack_local && !allow_spread)
+    return std::nullopt;
+  // As few racks as possible: those with the most room first.
+  std::vector<const Group*> order;
+  int total = 0;
+  for (const auto& [rack, group] : racks) {
+    order.push_back(&group);
+    total += group.total;
+  }
+  if (total < demand.tasks)
+    return std::nullopt;
+  std::ranges::sort(order, [](const Group* a, const Group* b) {
+    return a->total > b->total;
+  });
+  for (const Group* it : order) {
+    Take(*it, demand.tasks - static_cast<int>(placement.size()), placement);
+  }
+  if (static_cast<int>(placement.size()) < demand.tasks)
+    return std::nullopt;
+  return placement;
+}
+
+Placement PlaceTasks(const std::vector<Candidate>& candidates,
+                     const Demand& demand) {
+  Placement placement;
+  for (const size_t n : PackingOrder(candidates, demand)) {
+    const Candidate& it = candidates[n];
+    const int fits = CountFits(*it.worker, it.free, demand);
+    for (int k = 0;
+         k < fits && static_cast<int>(placement.size()) < demand.tasks; ++k)
+      placement.push_back(n);
+  }
+  return placement;
+}
+
+bool FitsSomeRack(const std::vector<Candidate>& candidates,
+                  const Demand& demand) {
+  std::map<RackId, int> totals;
+  for (const Candidate& it : candidates) {
+    int& total = totals[it.worker->rack];
+    total += CountFits(*it.worker, it.worker->capacity, demand);
+    if (total >= demand.tasks)
+      return true;
+  }
+  return false;
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/placement.h
@@ -0,0 +1,67 @@
+// Chooses workers for tasks. Answers the load of mixed sizes: small tasks fill
+// workers that are in use, so that whole workers and racks stay free for gangs
+// of large tasks.
+
+#ifndef SERVERS_BATCH_PLACEMENT_H_
+#define SERVERS_BATCH_PLACEMENT_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/units.h"
+#include "servers/batch/types.h"
+
+namespace quetzalshelf::batch {
+
+// A worker that may be given tasks.
+struct Candidate {
+  const WorkerEntry* worker = nullptr;
+  Resources free;
+  // Larger is worse; 0 for a worker without recent trouble.
+  int penalty = 0;
+};
+
+// What the tasks of one step need.
+struct Demand {
+  int tasks = 0;
+  Resources each;
+  bool rack_local = false;
+  RackId data_rack;
+  std::string required_label;
+  int max_per_worker = 0;  // 0: no limit.
+  // Workers that run tasks of the step already count towards the limit.
+  std::vector<WorkerId> present;
+  std::set<WorkerId> avoid;
+};
+
+Demand MakeDemand(const StepSpec& step, int tasks);
+
+// Whether `demand` allows tasks on the worker at all.
+bool IsEligible(const WorkerEntry& worker, const Demand& demand);
+// How many tasks of `demand` fit into `free` on the worker.
+int CountFits(const WorkerEntry& worker,
+              const Resources& free,
+              const Demand& demand);
+
+// Indexes into the candidates, one a task.
+using Placement = std::vector<size_t>;
+
+// Places all tasks of a gang or none. A rack-local gang goes into one rack; it
+// is spread over racks only when `allow_spread`.
+std::optional<Placement> PlaceGang(const std::vector<Candidate>& candidates,
+                                   const Demand& demand,
+                                   bool allow_spread);
+// Places as many of the tasks as fit.
+Placement PlaceTasks(const std::vector<Candidate>& candidates,
+                     const Demand& demand);
+
+// Whether some rack could hold the whole demand if it were empty.
+bool FitsSomeRack(const std::vector<Candidate>& candidates,
+                  const Demand& demand);
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_PLACEMENT_H_
--- /dev/null
+++ b/servers/batch/table_follower.h
@@ -0,0 +1,59 @@
+// Keeps up with the rows of one table: reads them all, then follows the feed of
+// changes, and reads them all again when the history is gone.
+
+#ifndef SERVERS_BATCH_TABLE_FOLLOWER_H_
+#define SERVERS_BATCH_TABLE_FOLLOWER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/backoff.h"
+#include "core/platform/versioned_store.h"
+#include "core/time.h"
+
+namespace quetzalshelf::batch {
+
+struct TableFollowerOptions {
+  std::string table;
+  std::string partition;
+  // Longest wait of a feed call; bounds how late a silent connection is found.
+  Duration poll{800};
+};
+
+class TableFollower {
+ public:
+  // All rows of the table. Rows known before and absent now are deleted.
+  using SnapshotHandler = std::function<void(const std::vector<StoreRow>&)>;
+  // Rows that changed since the last call, in order.
+  using ChangeHandler = std::function<void(const std::vector<StoreRow>&)>;
+
+  TableFollower(VersionedStore& store,
+                const Clock& clock,
+                TableFollowerOptions options,
+                SnapshotHandler on_snapshot,
+                ChangeHandler on_change,
+                uint64_t seed);
+  // No handler runs afterwards.
+  ~TableFollower();
+
+  // Starts and retries calls whose time has come.
+  void Tick(TimePoint now);
+
+  // Whether a snapshot was delivered.
+  bool ready() const;
+  // The rows handed over were current at this time or later.
+  TimePoint confirmed_at() const;
+  // Start of the present series of answered calls; a failed call ends it.
+  TimePoint steady_since() const;
+
+ private:
+  struct State;
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/servers/batch/victims.cc
@@ -0,0 +1,139 @@
+#include "servers/batch/victims.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <utility>
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+// Greedy search within one set of candidates: task by task, takes the worker
+// where making room for one more task costs least.
+class Search {
+ public:
+  Search(const std::vector<Candidate>& candidates,
+         const std::vector<VictimGroup>& groups,
+         const Demand& demand)
+      : candidates_(candidates),
+        groups_(groups),
+        demand_(demand),
+        free_(candidates.size()),
+        taken_(candidates.size(), 0),
+        stopped_(groups.size(), false),
+        on_worker_(candidates.size()) {
+    for (size_t n = 0; n < candidates.size(); ++n)
+      free_[n] = candidates[n].free;
+    for (size_t group = 0; group < groups.size(); ++group) {
+      for (const VictimGroup::Member& it : groups[group].members) {
+        std::vector<size_t>& here = on_worker_[it.candidate];
+        if (here.empty() || here.back() != group)
+          here.push_back(group);
+      }
+    }
+    for (std::vector<size_t>& here : on_worker_) {
+      std::ranges::sort(here, {}, [&](size_t n) { return groups_[n].cost; });
+    }
+  }
+
+  std::optional<ReclaimPlan> Run(const std::vector<size_t>& within) {
+    while (static_cast<int>(plan_.placement.size()) < demand_.tasks) {
+      double best_cost = std::numeric_limits<double>::infinity();
+      size_t best = 0;
+      std::vector<size_t> best_victims;
+      for (const size_t n : within) {
+        std::vector<size_t> victims;
+        const double cost = CostOfOneMore(n, victims);
+        if (cost < best_cost) {
+          best_cost = cost;
+          best = n;
+          best_victims = std::move(victims);
+        }
+        if (best_cost == 0)
+          break;
+      }
+      if (best_cost == std::numeric_limits<double>::infinity())
+        return std::nullopt;
+      Apply(best, best_victims);
+    }
+    return std::move(plan_);
+  }
+
+ private:
+  bool HasRoom(size_t n, const Resources& free) const {
+    const bool below_limit =
+        demand_.max_per_worker == 0 || taken_[n] < demand_.max_per_worker;
+    return below_limit && CountFits(*candidates_[n].worker, free, demand_) > 0;
+  }
+
+  // Cost of the groups to stop for one more task on candidate `n`.
+  double CostOfOneMore(size_t n, std::vector<size_t>& victims) const {
+    Resources free = free_[n];
+    double cost = 0;
+    if (HasRoom(n, free))
+      return cost;
+    for (const size_t group : on_worker_[n]) {
+      if (stopped_[group])
+        continue;
+      for (const VictimGroup::Member& it : groups_[group].members) {
+        if (it.candidate == n)
+          free += it.resources;
+      }
+      victims.push_back(group);
+      cost += groups_[group].cost;
+      if (HasRoom(n, free))
+        return cost;
+    }
+    return std::numeric_limits<double>::infinity();
+  }
+
+  void Apply(size_t n, const std::vector<size_t>& victims) {
+    for (const size_t group : victims) {
+      stopped_[group] = true;
+      plan_.victims.push_back(group);
+      plan_.cost += groups_[group].cost;
+      for (const VictimGroup::Member& it : groups_[group].members)
+        free_[it.candidate] += it.resources;
+    }
+    free_[n] -= demand_.each;
+    ++taken_[n];
+    plan_.placement.push_back(n);
+  }
+
+  const std::vector<Candidate>& candidates_;
+  const std::vector<VictimGroup>& groups_;
+  const Demand& demand_;
+  std::vector<Resources> free_;
+  std::vector<int> taken_;
+  std::vector<bool> stopped_;
+  std::vector<std::vector<size_t>> on_worker_;
+  ReclaimPlan plan_;
+};
+
+}  // namespace
+
+std::optional<ReclaimPlan> PlanReclaim(const std::vector<Candidate>& candidates,
+                                       const std::vector<VictimGroup>& groups,
+                                       const Demand& demand,
+                                       bool allow_spread) {
+  std::map<RackId, std::vector<size_t>> racks;
+  std::vector<size_t> all;
+  for (size_t n = 0; n < candidates.size(); ++n) {
+    if (!IsEligible(*candidates[n].worker, demand))
+      continue;
+    racks[candidates[n].worker->rack].push_back(n);
+    all.push_back(n);
+  }
+  std::optional<ReclaimPlan> best;
+  for (const auto& [rack, within] : racks) {
+    auto plan = Search(candidates, groups, demand).Run(within);
+    if (plan && (!best || plan->cost < best->cost))
+      best = std::move(plan);
+  }
+  if (!best && (allow_spread || !demand.rack_local))
+    best = Search(candidates, groups, demand).Run(all);
+  return best;
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/worker_book.cc
@@ -0,0 +1,144 @@
+#include "servers/batch/worker_book.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/logging.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+// Failed runs of different jobs in a row after which a worker is set aside.
+constexpr int kFailuresToAvoid = 2;
+// First time that a failing worker is set aside; doubles with each further
+// failure. About one run of an urgent task.
+constexpr Duration kFirstAvoidance{2'500};
+constexpr Duration kLongestAvoidance{10'000};
+// A worker with a recent failure is taken last for this long.
+constexpr Duration kFailureMemory{6'000};
+// Failed syncs in a row after which a worker gets no further tasks.
+constexpr int kUnreachableSyncs = 2;
+// A clock that falls back by more than this belongs to a new life.
+constexpr int64_t kClockFallbackMs = 1'000;
+
+}  // namespace
+
+int64_t Worker::EstimateClock(TimePoint now) const {
+  const auto elapsed = static_cast<double>((now - clock_at).count());
+  return clock_ms + static_cast<int64_t>(std::floor(elapsed * kSlowestClock));
+}
+
+int64_t Worker::GrantLease(TimePoint now) {
+  const auto longest = static_cast<int64_t>(
+      std::ceil(static_cast<double>(kLeaseLength.count()) / kSlowestClock));
+  leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
+  return EstimateClock(now) + kLeaseLength.count();
+}
+
+void Worker::ObserveClock(int64_t clock, TimePoint now) {
+  if (has_clock && clock + kClockFallbackMs < EstimateClock(now)) {
+    LOG(INFO) << "clock of worker " << entry.id
+              << " has fallen back, taken as a new life";
+    Rebirth(entry.born_wall_ms);
+  }
+  has_clock = true;
+  clock_ms = clock;
+  clock_at = now;
+}
+
+void Worker::Rebirth(int64_t born_wall_ms) {
+  entry.born_wall_ms = born_wall_ms;
+  has_clock = false;
+  noted_ends = 0;
+  applied_ends = 0;
+  told_ends = 0;
+  pending_ends.clear();
+  failures_in_row = 0;
+  failed_jobs.clear();
+  avoid_until = TimePoint();
+  sync_soon = true;
+}
+
+void Worker::RecordFailure(const JobId& job, TimePoint now) {
+  last_failure = now;
+  failed_jobs.insert(job);
+  failures_in_row = static_cast<int>(failed_jobs.size());
+  if (failures_in_row < kFailuresToAvoid)
+    return;
+  Duration pause = kFirstAvoidance;
+  for (int n = kFailuresToAvoid; n < failures_in_row; ++n)
+    pause = std::min(pause * 2, kLongestAvoidance);
+  avoid_until = now + pause;
+  LOG(WARNING) << "worker " << entry.id
+               << " set aside after failed runs of different jobs: jobs="
+               << failures_in_row << " for_ms=" << pause.count();
+}
+
+void Worker::RecordSuccess() {
+  failures_in_row = 0;
+  failed_jobs.clear();
+  avoid_until = TimePoint();
+}
+
+bool Worker::IsUsable(TimePoint now) const {
+  return listed && synced && has_clock && !entry.draining &&
+         now >= avoid_until && sync_failures < kUnreachableSyncs;
+}
+
+int Worker::Penalty(TimePoint now) const {
+  if (failures_in_row == 0)
+    return 0;
+  return now - last_failure < kFailureMemory ? failures_in_row : 0;
+}
+
+Worker& WorkerBook::Update(const WorkerEntry& entry, TimePoint now) {
+  Worker& worker = FindOrAdd(entry.id, now);
+  const bool known = worker.listed || worker.entry.port != 0;
+  const bool reborn = known && entry.born_wall_ms != 0 &&
+                      worker.entry.born_wall_ms != 0 &&
+                      entry.born_wall_ms != worker.entry.born_wall_ms;
+  if (!worker.listed || worker.entry.draining != entry.draining || reborn) {
+    LOG(INFO) << "worker " << entry.id << " listed: domain=" << entry.domain
+              << " rack=" << entry.rack << " draining=" << entry.draining
+              << " reborn=" << reborn;
+  }
+  worker.entry = entry;
+  worker.listed = true;
+  if (reborn)
+    worker.Rebirth(entry.born_wall_ms);
+  return worker;
+}
+
+void WorkerBook::Unlist(const WorkerId& id) {
+  if (Worker* const worker = Find(id); worker && worker->listed) {
+    LOG(INFO) << "worker " << id << " is not listed any more";
+    worker->listed = false;
+  }
+}
+
+void WorkerBook::KeepOnly(const std::set<WorkerId>& listed) {
+  for (auto& [id, worker] : workers_) {
+    if (!listed.contains(id))
+      Unlist(id);
+  }
+}
+
+Worker* WorkerBook::Find(const WorkerId& id) {
+  const auto it = workers_.find(id);
+  return it == workers_.end() ? nullptr : &it->second;
+}
+
+Worker& WorkerBook::FindOrAdd(const WorkerId& id, TimePoint now) {
+  const auto [it, added] = workers_.try_emplace(id);
+  if (added) {
+    it->second.entry.id = id;
+    // A former leader may have granted a lease just now.
+    const auto longest = static_cast<int64_t>(
+        std::ceil(static_cast<double>(kLongestLease.count()) / kSlowestClock));
+    it->second.leases_end = now + Duration(longest) + kLeaseMargin;
+  }
+  return it->second;
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/worker_book.h
@@ -0,0 +1,97 @@
+// What the leader knows of each worker: its entry, its clock, how long its
+// leases can last, and how its last runs ended.
+
+#ifndef SERVERS_BATCH_WORKER_BOOK_H_
+#define SERVERS_BATCH_WORKER_BOOK_H_
+
+#include <deque>
+#include <map>
+#include <set>
+
+#include "core/time.h"
+#include "servers/batch/types.h"
+
+namespace quetzalshelf::batch {
+
+// Time that a lease granted now lasts on the worker's clock. Long enough for a
+// new leader to take over and renew it, below the platform's longest lease.
+inline constexpr Duration kLeaseLength{5'000};
+// A worker's clock runs at least at this share of the true speed.
+inline constexpr double kSlowestClock = 0.98;
+// Longest lease that any leader can have granted.
+inline constexpr Duration kLongestLease{6'000};
+// Covers rounding and the travel time of orders.
+inline constexpr Duration kLeaseMargin{200};
+
+struct Worker {
+  WorkerEntry entry;
+  bool listed = false;  // The platform lists it.
+  // Some answer came under the present epoch, so that orders of former leaders
+  // are refused there.
+  bool synced = false;
+  bool has_clock = false;
+  int64_t clock_ms = 0;  // The worker's clock at `clock_at`.
+  TimePoint clock_at;
+  // All leases granted so far have lapsed on the worker by then.
+  TimePoint leases_end;
+
+  bool sync_in_flight = false;
+  bool sync_soon = false;
+  TimePoint next_sync;
+  int sync_failures = 0;
+  int64_t noted_ends = 0;    // Ends up to this number are in the store.
+  int64_t applied_ends = 0;  // Ends up to this number were applied.
+  int64_t told_ends = 0;     // The worker was told to forget them.
+  // Applied ends whose jobs are not yet in the store, in order.
+  struct PendingEnd {
+    int64_t number = 0;
+    JobId job;
+    uint64_t revision = 0;
+  };
+  std::deque<PendingEnd> pending_ends;
+
+  int failures_in_row = 0;
+  std::set<JobId> failed_jobs;  // Of the present row of failures.
+  TimePoint avoid_until;
+  TimePoint last_failure;
+
+  int runs = 0;    // With an order sent; recounted at each tick.
+  Resources used;  // By all runs and reservations; recounted for a pass.
+
+  int64_t EstimateClock(TimePoint now) const;
+  // The end of a lease granted now, on the worker's clock; notes how long it
+  // can last.
+  int64_t GrantLease(TimePoint now);
+  void ObserveClock(int64_t clock, TimePoint now);
+  // A new life of the worker: its numbers start again.
+  void Rebirth(int64_t born_wall_ms);
+
+  void RecordFailure(const JobId& job, TimePoint now);
+  void RecordSuccess();
+  // Whether it may be given tasks as far as its own state goes.
+  bool IsUsable(TimePoint now) const;
+  // Larger is worse; see Candidate.
+  int Penalty(TimePoint now) const;
+};
+
+class WorkerBook {
+ public:
+  // Adds or updates a listed worker.
+  Worker& Update(const WorkerEntry& entry, TimePoint now);
+  // The platform lists it no more. It is kept while runs may be on it.
+  void Unlist(const WorkerId& id);
+  // Unlists every worker that is not in `listed`.
+  void KeepOnly(const std::set<WorkerId>& listed);
+  Worker* Find(const WorkerId& id);
+  // A worker that runs were recorded on but that is not listed.
+  Worker& FindOrAdd(const WorkerId& id, TimePoint now);
+
+  std::map<WorkerId, Worker>& workers() { return workers_; }
+
+ private:
+  std::map<WorkerId, Worker> workers_;
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_WORKER_BOOK_H_
--- /dev/null
+++ b/servers/batch/worker_port.h
@@ -0,0 +1,106 @@
+// Interface to workers that run tasks under leases and fences.
+
+#ifndef SERVERS_BATCH_WORKER_PORT_H_
+#define SERVERS_BATCH_WORKER_PORT_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "servers/batch/types.h"
+
+namespace quetzalshelf::batch {
+
+struct StartOrder {
+  TaskId task;
+  Attempt attempt;
+  Epoch epoch;
+  std::string payload;
+  std::string checkpoint;      // Empty: from the beginning.
+  int64_t lease_until_ms = 0;  // On the worker's clock, for all it runs.
+};
+
+struct StopOrder {
+  TaskId task;
+  Attempt attempt;
+  Epoch epoch;
+};
+
+enum class OrderResult {
+  kDone,              // Started, or there already; stopped, or not there.
+  kFenced,            // A newer epoch has given orders.
+  kSuperseded,        // This or a higher attempt was stopped or has ended.
+  kLeaseInPast,       // Nothing was started.
+  kNoRoom,            // Nothing was started.
+  kRejected,          // The order is malformed.
+  kUnhealthy,         // The worker did nothing.
+  kOtherIncarnation,  // Another life of the worker answered.
+};
+
+struct OrderReply {
+  OrderResult result = OrderResult::kDone;
+  std::optional<int64_t> clock_ms;  // The worker's clock.
+};
+
+struct SyncRequest {
+  Epoch epoch;
+  int64_t noted_ends = 0;  // Ends up to this number may be forgotten.
+  std::optional<int64_t> lease_until_ms;
+  Duration wait{0};  // The answer may wait so long for an end.
+};
+
+enum class EndReason { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
+
+struct ListedRun {
+  TaskId task;
+  Attempt attempt;
+  std::string checkpoint;
+  int percent = 0;
+};
+
+struct ListedEnd {
+  int64_t number = 0;  // Counts from 1 in each life of the worker.
+  TaskId task;
+  Attempt attempt;
+  EndReason reason = EndReason::kDone;
+  std::string checkpoint;
+};
+
+struct SyncReply {
+  OrderResult result = OrderResult::kDone;
+  int64_t clock_ms = 0;
+  int64_t born_wall_ms = 0;  // 0 when the worker did not say.
+  std::vector<ListedRun> runs;
+  std::vector<ListedEnd> ends;
+};
+
+// Calls return at once; callbacks run later on the caller's thread. Errors:
+// kUnavailable (nothing was sent), kUnknown and kDeadlineExceeded (the order
+// may be carried out, also later).
+class WorkerPort {
+ public:
+  using OrderCallback = std::function<void(absl::StatusOr<OrderReply>)>;
+  using SyncCallback = std::function<void(absl::StatusOr<SyncReply>)>;
+
+  virtual ~WorkerPort() = default;
+
+  virtual void Start(const WorkerEntry& worker,
+                     const StartOrder& order,
+                     Duration timeout,
+                     OrderCallback done) = 0;
+  virtual void Stop(const WorkerEntry& worker,
+                    const StopOrder& order,
+                    Duration timeout,
+                    OrderCallback done) = 0;
+  virtual void Sync(const WorkerEntry& worker,
+                    const SyncRequest& request,
+                    Duration timeout,
+                    SyncCallback done) = 0;
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_WORKER_PORT_H_
