Sync workers only after the jobs are known

Cause: a new leader synced workers before it had read the rows of jobs, took their runs for strays and their ends for those of unknown jobs, and noted them; tasks that were done started again. Ruled out: lost state rows (they held the runs).

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -89,6 +89,9 @@
   states_.reset();
   job_rows_->Tick(now);
   cancel_rows_->Tick(now);
+  // Before the jobs are known, a worker's runs and ends would look like strays.
+  if (!job_rows_->ready() || !cancel_rows_->ready())
+    return;
   TickRuns(now);
   TickWorkers(now);
   if (pass_due_ && now - last_pass_ >= kPassSpacing && MayStart(now)) {
