--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -63,6 +63,7 @@
 
  private:
   struct Unit;  // A gang, or the waiting tasks of a step.
+  struct PassState;
 
   // dispatcher.cc: rows.
   void OnStates(const std::vector<StoreRow>& rows);
@@ -111,17 +112,16 @@
   // dispatcher_pass.cc: what to start.
   void Pass(TimePoint now);
   void CountUse();
-  std::vector<Unit> CollectUnits(TimePoint now);
   std::set<JobId> GuaranteedJobs() const;
-  std::vector<Candidate> MakeCandidates(const ServiceName& service,
-                                        TimePoint now);
-  void StartUnit(Unit& unit, TimePoint now);
-  bool TryReserved(Unit& unit, TimePoint now);
-  bool TryReclaim(Unit& unit,
-                  const std::vector<Candidate>& candidates,
-                  const Demand& demand,
-                  TimePoint now);
-  void Assign(Unit& unit, const std::vector<WorkerId>& workers, TimePoint now);
+  std::vector<Unit> CollectUnits(const PassState& pass);
+  std::vector<Candidate>& CandidatesOf(const ServiceName& service,
+                                       PassState& pass);
+  void CollectVictims(PassState& pass, const ServiceName& service);
+  void StartUnit(Unit& unit, PassState& pass);
+  bool TryReserved(Unit& unit, PassState& pass);
+  bool TryReclaim(Unit& unit, const Demand& demand, PassState& pass);
+  void StopVictim(Job& job, const TaskId& id, TimePoint now);
+  void Assign(Unit& unit, const Placement& placement, PassState& pass);
 
   VersionedStore& store_;
   WorkerPort& port_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-// A worker answers an order within milliseconds; one that is slow or cut off
-// is asked again.
-constexpr Duration kOrderTimeout{400};
-constexpr Duration kOrderRetry{60};
+// A worker answers an order within a few milliseconds. An order whose answer
+// is lost is sent again soon, since a whole gang waits for it.
+constexpr Duration kOrderTimeout{150};
+constexpr Duration kOrderRetry{20};
 // Members of a gang wait for each other; a start without a certain outcome is
 // given up well before they give up themselves (3 s).
 constexpr Duration kStartPatience{1'400};
@@ -69,8 +69,9 @@
   Worker& worker = book_.FindOrAdd(run.worker, now);
   if (HasOrders(run.phase))
     ++worker.runs;
-  // Nothing of it can run any more once every lease has lapsed there.
-  const bool lapsed = HasOrders(run.phase) && now > worker.leases_end;
+  // Nothing of it can run any more once every lease has lapsed there. Before
+  // the first order, the worker's last lease says nothing about the run.
+  const bool lapsed = run.ordered && now > worker.leases_end;
   if (lapsed) {
     LoseRun(job, id, run.attempt, "the worker's leases have lapsed");
     return;
@@ -105,6 +106,7 @@
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
   order.lease_until_ms = worker.GrantLease(now);
+  run.ordered = true;
   run.in_flight = true;
   port_.Start(
       worker.entry, order, kOrderTimeout,
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -10,21 +10,56 @@
 
 namespace {
 
-// A GPU counts as this many cores when lost work is weighed, as the platform
-// prices it.
+// A GPU counts as this many cores when work is weighed, as the platform prices
+// it.
 constexpr double kCoresPerAccelerator = 8;
 // Runs of a more important queue cost this much more to stop, for each step of
 // priority.
 constexpr double kPriorityWeight = 4;
-// Added to each group of victims, in core-seconds: restarting has a price of
-// its own.
+constexpr int kLeastPriority = 2;
+// Added to each group of victims, in core-seconds: a restart delays its job.
 constexpr double kRestartCost = 10;
 // Reserved workers are given up after this time; stopping takes under 1 s.
 constexpr Duration kReservationLimit{2'500};
-// A task that is due by the wall clock starts this late, since the clocks of
-// VMs differ a little.
+// A reclaim that was not possible is not tried again before this time.
+constexpr Duration kReclaimRetry{60};
+// Occurrences start this long after their time, since the clocks of VMs differ
+// a little.
 constexpr int64_t kDueMarginMs = 30;
 
+// Cores that a task takes, accelerators included.
+double WeighCores(const Resources& each) {
+  return static_cast<double>(each.cpu.value()) / 1000.0 +
+         kCoresPerAccelerator * static_cast<double>(each.accelerators.value());
+}
+
+double Seconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+// Estimated work of a step in core-seconds.
+double StepWork(const StepSpec& step) {
+  return step.tasks * WeighCores(step.resources) * Seconds(step.estimate);
+}
+
+// Work of a run that would be lost if it were stopped now, in core-seconds.
+double LostWork(const Run& run,
+                const StepSpec& spec,
+                const Resources& each,
+                TimePoint now) {
+  if (run.phase != RunPhase::kRunning)
+    return 0;
+  const TimePoint since = spec.checkpointing ? run.saved_at : run.started_at;
+  return WeighCores(each) * Seconds(now - since);
+}
+
+double StopCost(double lost_work, int priority) {
+  double weight = 1;
+  for (int n = priority; n < kLeastPriority; ++n)
+    weight *= kPriorityWeight;
+  return weight * (lost_work + kRestartCost);
+}
+
 }  // namespace
 
 // Waiting work that is placed together.
@@ -39,16 +74,38 @@
   std::vector<int> waiting;  // Indexes of the tasks to place.
 
   auto Rank() const {
-    return std::tuple(job->record().priority, !guaranteed, late, objective, id);
+    return std::tuple(job->record().priority, !guaranteed, late, objective,
+                      id);
   }
 };
 
+// What one pass works with; the candidates shrink as units are placed.
+struct Dispatcher::PassState {
+  struct Victim {
+    Job* job = nullptr;
+    TaskId id;  // Of a run, or of a step when it is a gang.
+    int priority = 0;
+    bool guaranteed = false;
+  };
+
+  TimePoint now;
+  std::set<JobId> guaranteed;
+  std::map<ServiceName, std::vector<Candidate>> candidates;
+  // Built when the first unit wants to reclaim.
+  bool has_victims = false;
+  std::vector<VictimGroup> groups;
+  std::vector<Victim> victims;  // One a group.
+};
+
 void Dispatcher::Pass(TimePoint now) {
   CountUse();
-  std::vector<Unit> units = CollectUnits(now);
+  PassState pass;
+  pass.now = now;
+  pass.guaranteed = GuaranteedJobs();
+  std::vector<Unit> units = CollectUnits(pass);
   std::ranges::sort(units, {}, &Unit::Rank);
   for (Unit& it : units)
-    StartUnit(it, now);
+    StartUnit(it, pass);
 }
 
 void Dispatcher::CountUse() {
@@ -59,8 +116,7 @@
     for (OccurrenceProgress& occurrence : job.occurrences()) {
       for (size_t n = 0; n < occurrence.steps.size(); ++n) {
         StepProgress& step = occurrence.steps[n];
-        const Resources each =
-            MakeDemand(job.spec(static_cast<int>(n)), 1).each;
+        const Resources each = MakeDemand(job.spec(static_cast<int>(n)), 1).each;
         for (const TaskProgress& task : step.tasks) {
           if (!task.run)
             continue;
@@ -105,8 +161,7 @@
   return guaranteed;
 }
 
-std::vector<Dispatcher::Unit> Dispatcher::CollectUnits(TimePoint now) {
-  const std::set<JobId> guaranteed = GuaranteedJobs();
+std::vector<Dispatcher::Unit> Dispatcher::CollectUnits(const PassState& pass) {
   const int64_t wall = clock_.WallMillis() - kDueMarginMs;
   std::vector<Unit> units;
   for (const JobId& job_id : live_) {
@@ -126,15 +181,15 @@
             !job.DependenciesDone(occurrence, id.step))
           continue;
         if (step.ready_since == TimePoint())
-          step.ready_since = now;
-        if (now < step.retry_at) {
+          step.ready_since = pass.now;
+        if (pass.now < step.retry_at) {
           pass_due_ = true;
           continue;
         }
         Unit unit{&job, id, &step, &job.spec(id.step)};
-        unit.guaranteed = guaranteed.contains(job_id);
+        unit.guaranteed = pass.guaranteed.contains(job_id);
         unit.objective = objective;
-        unit.late = now > objective;
+        unit.late = pass.now > objective;
         for (size_t n = 0; n < step.tasks.size(); ++n) {
           if (!step.tasks[n].done && !step.tasks[n].run)
             unit.waiting.push_back(static_cast<int>(n));
@@ -151,213 +206,214 @@
   return units;
 }
 
-std::vector<Candidate> Dispatcher::MakeCandidates(const ServiceName& service,
-                                                  TimePoint now) {
-  std::vector<Candidate> candidates;
+std::vector<Candidate>& Dispatcher::CandidatesOf(const ServiceName& service,
+                                                 PassState& pass) {
+  const auto [it, added] = pass.candidates.try_emplace(service);
+  std::vector<Candidate>& candidates = it->second;
+  if (!added)
+    return candidates;
   for (auto& [id, worker] : book_.workers()) {
-    if (worker.entry.service != service || !worker.IsUsable(now) ||
+    if (worker.entry.service != service || !worker.IsUsable(pass.now) ||
         site_.IsEvacuated(worker.entry.domain))
       continue;
     candidates.push_back({&worker.entry, worker.entry.capacity - worker.used,
-                          worker.Penalty(now)});
+                          worker.Penalty(pass.now)});
   }
   return candidates;
 }
 
-void Dispatcher::StartUnit(Unit& unit, TimePoint now) {
-  if (!unit.step->reserved.empty() && TryReserved(unit, now))
+void Dispatcher::StartUnit(Unit& unit, PassState& pass) {
+  std::vector<Candidate>& candidates =
+      CandidatesOf(unit.job->record().service, pass);
+  if (!unit.step->reserved.empty() && TryReserved(unit, pass))
     return;
-  const std::vector<Candidate> candidates =
-      MakeCandidates(unit.job->record().service, now);
-  Demand demand = MakeDemand(*unit.spec, static_cast<int>(unit.waiting.size()));
+  Demand demand =
+      MakeDemand(*unit.spec, static_cast<int>(unit.waiting.size()));
   for (const TaskProgress& it : unit.step->tasks) {
     if (it.run)
       demand.present.push_back(it.run->worker);
     demand.avoid.insert(it.failed_on.begin(), it.failed_on.end());
   }
-  const auto usable =
-      std::ranges::count_if(candidates, [&](const Candidate& it) {
-        return !demand.avoid.contains(it.worker->id);
-      });
-  // Better a worker that failed before than none.
-  if (usable * 2 < static_cast<int64_t>(candidates.size()))
+  // Better a worker on which the step has failed than none.
+  if (demand.avoid.size() * 2 > candidates.size())
     demand.avoid.clear();
-  const auto workers_of = [&](const Placement& placement) {
-    std::vector<WorkerId> workers;
-    for (const size_t n : placement)
-      workers.push_back(candidates[n].worker->id);
-    return workers;
-  };
   if (!unit.spec->gang) {
     const Placement placement = PlaceTasks(candidates, demand);
     if (!placement.empty())
-      Assign(unit, workers_of(placement), now);
+      Assign(unit, placement, pass);
     return;
   }
-  const bool allow_spread = !FitsSomeRack(candidates, demand);
+  const bool allow_spread =
+      demand.rack_local && !FitsSomeRack(candidates, demand);
   if (const auto placement = PlaceGang(candidates, demand, allow_spread)) {
-    Assign(unit, workers_of(*placement), now);
+    Assign(unit, *placement, pass);
     return;
   }
-  if (unit.job->record().priority == 0)
-    TryReclaim(unit, candidates, demand, now);
+  if (unit.job->record().priority == 0 && pass.now >= unit.step->reclaim_at)
+    TryReclaim(unit, demand, pass);
 }
 
-bool Dispatcher::TryReserved(Unit& unit, TimePoint now) {
+bool Dispatcher::TryReserved(Unit& unit, PassState& pass) {
   StepProgress& step = *unit.step;
+  std::vector<Candidate>& candidates =
+      CandidatesOf(unit.job->record().service, pass);
   const Resources each = MakeDemand(*unit.spec, 1).each;
   bool usable = true;
   bool fits = true;
+  Placement placement;
   for (const WorkerId& id : step.reserved) {
-    const Worker* const worker = book_.Find(id);
-    usable = usable && worker && worker->IsUsable(now) &&
-             !site_.IsEvacuated(worker->entry.domain);
+    const auto it = std::ranges::find(candidates, id, [](const Candidate& c) {
+      return c.worker->id;
+    });
+    usable = usable && it != candidates.end();
+    if (!usable)
+      break;
     // The reservation itself counts as used.
-    fits = fits && worker && worker->used.FitsIn(worker->entry.capacity);
+    fits = fits && Resources().FitsIn(it->free);
+    placement.push_back(static_cast<size_t>(it - candidates.begin()));
   }
+  if (usable && !fits && pass.now - step.reserved_at <= kReservationLimit)
+    return true;
+  step.reserved.clear();
+  for (const size_t n : placement)
+    candidates[n].free += each;
   if (usable && fits) {
-    const std::vector<WorkerId> workers = std::exchange(step.reserved, {});
-    for (const WorkerId& id : workers)
-      book_.Find(id)->used -= each;
-    Assign(unit, workers, now);
+    Assign(unit, placement, pass);
     return true;
   }
-  if (usable && now - step.reserved_at <= kReservationLimit)
-    return true;
   LOG(INFO) << "reservation of step " << ToString(unit.id)
             << " given up: usable=" << usable;
-  for (const WorkerId& id : std::exchange(step.reserved, {})) {
-    if (Worker* const worker = book_.Find(id))
-      worker->used -= each;
-  }
   return false;
 }
 
-bool Dispatcher::TryReclaim(Unit& unit,
-                            const std::vector<Candidate>& candidates,
-                            const Demand& demand,
-                            TimePoint now) {
+void Dispatcher::CollectVictims(PassState& pass, const ServiceName& service) {
+  const std::vector<Candidate>& candidates = CandidatesOf(service, pass);
   std::map<WorkerId, size_t> index;
   for (size_t n = 0; n < candidates.size(); ++n)
     index[candidates[n].worker->id] = n;
-  const std::set<JobId> guaranteed = GuaranteedJobs();
-  std::vector<VictimGroup> groups;
-  std::vector<std::pair<Job*, TaskId>> owners;
   for (const JobId& job_id : live_) {
     Job& job = *jobs_.at(job_id);
-    const int priority = job.record().priority;
-    // A guarantee reaches as far as the unguaranteed runs of its own priority.
-    const bool allowed =
-        priority > unit.job->record().priority ||
-        (unit.guaranteed && priority == unit.job->record().priority &&
-         !guaranteed.contains(job_id));
-    if (!allowed || job.IsFinal())
+    if (job.IsFinal() || job.record().service != service)
       continue;
-    TaskId id{job_id};
+    PassState::Victim victim{&job, TaskId{job_id}, job.record().priority,
+                             pass.guaranteed.contains(job_id)};
     for (OccurrenceProgress& occurrence : job.occurrences()) {
-      id.step = -1;
+      victim.id.step = -1;
       for (StepProgress& step : occurrence.steps) {
-        ++id.step;
-        const StepSpec& spec = job.spec(id.step);
+        ++victim.id.step;
+        victim.id.index = 0;
+        const StepSpec& spec = job.spec(victim.id.step);
         const Resources each = MakeDemand(spec, 1).each;
-        const double cores = static_cast<double>(each.cpu.value()) / 1000.0 +
-                             kCoresPerAccelerator *
-                                 static_cast<double>(each.accelerators.value());
-        double weight = 1;
-        for (int n = priority; n < 2; ++n)
-          weight *= kPriorityWeight;
-        VictimGroup gang;
-        for (size_t n = 0; n < step.tasks.size(); ++n) {
-          const TaskProgress& task = step.tasks[n];
+        VictimGroup group;
+        for (const TaskProgress& task : step.tasks) {
+          ++victim.id.index;
           if (!task.run || task.run->phase == RunPhase::kStopping)
             continue;
-          const auto at = index.find(task.run->worker);
-          const Run& run = *task.run;
-          const TimePoint since =
-              spec.checkpointing ? run.saved_at : run.started_at;
-          const double lost_s =
-              run.phase == RunPhase::kRunning
-                  ? static_cast<double>((now - since).count()) / 1000.0
-                  : 0;
-          const double cost = weight * (cores * lost_s + kRestartCost);
-          if (spec.gang) {
-            gang.cost += cost;
-            if (at != index.end())
-              gang.members.push_back({at->second, each});
-            continue;
-          }
-          if (at == index.end())
+          group.lost_work += LostWork(*task.run, spec, each, pass.now);
+          if (const auto it = index.find(task.run->worker); it != index.end())
+            group.members.push_back({it->second, each});
+          if (spec.gang || group.members.empty())
             continue;
-          VictimGroup single;
-          single.cost = cost;
-          single.members.push_back({at->second, each});
-          groups.push_back(std::move(single));
-          id.index = static_cast<int>(n);
-          owners.emplace_back(&job, id);
-        }
-        if (!gang.members.empty()) {
-          groups.push_back(std::move(gang));
-          id.index = 0;
-          owners.emplace_back(&job, id);
+          group.cost = StopCost(group.lost_work, victim.priority);
+          pass.groups.push_back(std::exchange(group, {}));
+          pass.victims.push_back(victim);
+          --pass.victims.back().id.index;
         }
+        if (group.members.empty())
+          continue;
+        group.cost = StopCost(group.lost_work, victim.priority);
+        pass.groups.push_back(std::move(group));
+        pass.victims.push_back(victim);
+        pass.victims.back().id.index = 0;
       }
-      ++id.occurrence;
+      ++victim.id.occurrence;
     }
   }
+  pass.has_victims = true;
+}
+
+bool Dispatcher::TryReclaim(Unit& unit, const Demand& demand, PassState& pass) {
+  const ServiceName& service = unit.job->record().service;
+  std::vector<Candidate>& candidates = CandidatesOf(service, pass);
+  unit.step->reclaim_at = pass.now + kReclaimRetry;
+  pass_due_ = true;
+  if (!pass.has_victims)
+    CollectVictims(pass, service);
+  const int priority = unit.job->record().priority;
+  std::vector<VictimGroup> groups = pass.groups;
+  for (size_t n = 0; n < groups.size(); ++n) {
+    const PassState::Victim& victim = pass.victims[n];
+    // A guarantee reaches as far as the unguaranteed runs of its own priority.
+    const bool allowed = victim.priority > priority ||
+                         (unit.guaranteed && victim.priority == priority &&
+                          !victim.guaranteed);
+    if (!allowed)
+      groups[n].members.clear();
+  }
   const bool allow_spread =
       unit.guaranteed || !FitsSomeRack(candidates, demand);
   const auto plan = PlanReclaim(candidates, groups, demand, allow_spread);
-  if (!plan)
+  const Duration waited = pass.now - unit.job->accepted_at();
+  if (!plan || !IsReclaimWorthwhile(*plan, StepWork(*unit.spec),
+                                    unit.guaranteed, waited))
     return false;
   reclaims_.Add();
-  LOG(INFO) << "step " << ToString(unit.id)
-            << " reclaims workers: groups=" << plan->victims.size()
-            << " cost=" << plan->cost << " guaranteed=" << unit.guaranteed;
-  for (const size_t group : plan->victims) {
-    auto& [job, id] = owners[group];
-    if (job->spec(id.step).gang) {
-      StopStep(*job, *job->FindStep(id), now);
-      continue;
-    }
-    TaskProgress& task = *job->Find(id);
-    if (task.run->phase == RunPhase::kRecording) {
-      task.run.reset();
-      Changed(*job);
-    } else {
-      RequestStop(*task.run, now);
-    }
+  LOG(INFO) << "step " << ToString(unit.id) << " reclaims workers: groups="
+            << plan->victims.size() << " lost_core_s=" << plan->lost_work
+            << " guaranteed=" << unit.guaranteed
+            << " waited_ms=" << waited.count();
+  for (const size_t n : plan->victims) {
+    const PassState::Victim& victim = pass.victims[n];
+    StopVictim(*victim.job, victim.id, pass.now);
+    pass.groups[n].members.clear();
   }
   unit.step->reserved.clear();
-  unit.step->reserved_at = now;
+  unit.step->reserved_at = pass.now;
   for (const size_t n : plan->placement) {
-    const WorkerId& id = candidates[n].worker->id;
-    unit.step->reserved.push_back(id);
-    book_.Find(id)->used += demand.each;
+    unit.step->reserved.push_back(candidates[n].worker->id);
+    candidates[n].free -= demand.each;
   }
-  pass_due_ = true;
   return true;
 }
 
+void Dispatcher::StopVictim(Job& job, const TaskId& id, TimePoint now) {
+  if (job.spec(id.step).gang) {
+    StopStep(job, *job.FindStep(id), now);
+    return;
+  }
+  TaskProgress& task = *job.Find(id);
+  if (!task.run)
+    return;
+  if (task.run->phase == RunPhase::kRecording) {
+    task.run.reset();
+    Changed(job);
+  } else {
+    RequestStop(*task.run, now);
+  }
+}
+
 void Dispatcher::Assign(Unit& unit,
-                        const std::vector<WorkerId>& workers,
-                        TimePoint now) {
+                        const Placement& placement,
+                        PassState& pass) {
   Job& job = *unit.job;
   StepProgress& step = *unit.step;
+  std::vector<Candidate>& candidates =
+      CandidatesOf(job.record().service, pass);
   const Resources each = MakeDemand(*unit.spec, 1).each;
   const Attempt gang_attempt = Job::NextAttempt(step);
-  for (size_t n = 0; n < workers.size(); ++n) {
+  for (size_t n = 0; n < placement.size(); ++n) {
+    Candidate& candidate = candidates[placement[n]];
     TaskProgress& task = step.tasks[static_cast<size_t>(unit.waiting[n])];
     task.attempt = unit.spec->gang ? gang_attempt : task.attempt.Next();
-    task.run = Run{.worker = workers[n],
+    task.run = Run{.worker = candidate.worker->id,
                    .attempt = task.attempt,
                    .phase = RunPhase::kRecording,
-                   .phase_since = now,
+                   .phase_since = pass.now,
                    .revision = job.revision + 1};
-    book_.Find(workers[n])->used += each;
+    candidate.free -= each;
   }
   job.set_begun();
   Changed(job);
-  pass_due_ = pass_due_ || !step.reserved.empty();
 }
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -305,6 +305,7 @@
                       .attempt = task->attempt,
                       .phase = RunPhase::kRecovered,
                       .phase_since = now,
+                      .ordered = true,
                       .started_at = now,
                       .progressed_at = now,
                       .saved_at = now};
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -35,6 +35,7 @@
   RunPhase phase = RunPhase::kRecording;
   TimePoint phase_since;
   uint64_t revision = 0;   // Of the job, from which on it is in the store.
+  bool ordered = false;    // A start order was sent.
   bool in_flight = false;  // An order waits for its answer.
   bool uncertain = false;  // An order had no answer.
   TimePoint next_try;
@@ -63,6 +64,7 @@
   // Workers held for this gang while their runs are stopped, one a task.
   std::vector<WorkerId> reserved;
   TimePoint reserved_at;
+  TimePoint reclaim_at;  // No reclaim is tried before.
 };
 
 struct OccurrenceProgress {
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -76,7 +76,8 @@
 void LeaderLease::Tick(TimePoint now,
                        TimePoint steady_since,
                        TimePoint confirmed_at) {
-  if (busy_ || now < next_try_)
+  const bool rows_known = confirmed_at != TimePoint();
+  if (busy_ || now < next_try_ || !rows_known)
     return;
   if (leading_) {
     if (now >= next_heartbeat_)
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -24,7 +24,7 @@
   NodeId node;
   IncarnationId incarnation;
   // Between two heartbeats of the leader.
-  Duration heartbeat{400};
+  Duration heartbeat{500};
   // Silence of the leader, while the store answers, after which another node
   // takes over. Several heartbeats, so that a slow store does not depose it.
   Duration takeover{1'500};
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <limits>
 #include <map>
-#include <numeric>
 #include <tuple>
 #include <utility>
 
@@ -27,22 +26,46 @@
   bool holds_data = false;
 };
 
-// Best fit: candidates without trouble first, then near the data, then those
-// with the fewest free accelerators.
+// Best fit among the candidates with room: those without trouble first, then
+// near the data, then in the fullest rack, then those with the fewest free
+// accelerators.
 std::vector<size_t> PackingOrder(const std::vector<Candidate>& candidates,
                                  const Demand& demand) {
-  std::vector<size_t> order(candidates.size());
-  std::iota(order.begin(), order.end(), size_t{0});
-  const auto key = [&](size_t n) {
+  std::vector<size_t> order;
+  std::map<RackId, Accelerators> free_of_rack;
+  for (size_t n = 0; n < candidates.size(); ++n) {
+    const Candidate& it = candidates[n];
+    free_of_rack[it.worker->rack] += it.free.accelerators;
+    if (CountFits(*it.worker, it.free, demand) > 0)
+      order.push_back(n);
+  }
+  using Key = std::tuple<int, bool, Accelerators, Accelerators, size_t>;
+  std::vector<Key> keys;
+  keys.reserve(order.size());
+  for (const size_t n : order) {
     const Candidate& it = candidates[n];
     const bool far =
         !demand.data_rack.empty() && it.worker->rack != demand.data_rack;
-    return std::tuple(it.penalty, far, it.free.accelerators, it.free.memory, n);
-  };
-  std::ranges::sort(order, {}, key);
+    keys.emplace_back(it.penalty, far, free_of_rack[it.worker->rack],
+                      it.free.accelerators, n);
+  }
+  std::ranges::sort(keys);
+  for (size_t n = 0; n < keys.size(); ++n)
+    order[n] = std::get<size_t>(keys[n]);
   return order;
 }
 
+bool HasRoomForAll(const std::vector<Candidate>& candidates,
+                   const Demand& demand) {
+  int total = 0;
+  for (const Candidate& it : candidates) {
+    total += CountFits(*it.worker, it.free, demand);
+    if (total >= demand.tasks)
+      return true;
+  }
+  return false;
+}
+
 std::map<RackId, Group> GroupByRack(const std::vector<Candidate>& candidates,
                                     const Demand& demand) {
   std::map<RackId, Group> racks;
@@ -109,6 +132,8 @@
 std::optional<Placement> PlaceGang(const std::vector<Candidate>& candidates,
                                    const Demand& demand,
                                    bool allow_spread) {
+  if (!HasRoomForAll(candidates, demand))
+    return std::nullopt;
   const std::map<RackId, Group> racks = GroupByRack(candidates, demand);
   Placement placement;
   // The rack with the data, else the fullest one that still has room.
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -48,6 +48,14 @@
     store.Feed(options.table, version, options.poll, Guarded(&State::OnFeed));
   }
 
+  // The next call of a spaced feed is left to Tick().
+  void Continue(TimePoint now) {
+    if (now >= call_sent + options.spacing)
+      Feed(now);
+    else
+      retry_at = call_sent + options.spacing;
+  }
+
   VersionedStore::ReadCallback Guarded(
       void (State::*handler)(const absl::StatusOr<StoreSnapshot>&)) {
     return [weak = weak_from_this(),
@@ -77,7 +85,7 @@
     ready = true;
     // The next call goes out first: handlers may call Tick().
     const std::vector<StoreRow> rows = std::exchange(pages, {});
-    Feed(clock.Now());
+    Continue(clock.Now());
     on_snapshot(rows);
   }
 
@@ -91,7 +99,7 @@
     }
     version = std::max(version, result->version);
     Succeed(call_sent);
-    Feed(clock.Now());
+    Continue(clock.Now());
     if (!result->rows.empty())
       on_change(result->rows);
   }
--- a/servers/batch/table_follower.h
+++ b/servers/batch/table_follower.h
@@ -20,6 +20,9 @@
   std::string partition;
   // Longest wait of a feed call; bounds how late a silent connection is found.
   Duration poll{800};
+  // Least time between two feed calls, so that the changes of a busy table
+  // come together.
+  Duration spacing{0};
 };
 
 class TableFollower {
--- a/servers/batch/victims.cc
+++ b/servers/batch/victims.cc
@@ -9,6 +9,15 @@
 
 namespace {
 
+// A guaranteed job must begin within about 3 s; stopping and starting takes up
+// to 1 s of that.
+constexpr Duration kGuaranteedPatience{1'300};
+// Work that may be thrown away for an urgent job however small, and besides
+// for each core-second of its own. An urgent job that is late loses most of
+// its value, while stopped work has to be done again.
+constexpr double kBaseAllowance = 600;
+constexpr double kAllowancePerWork = 2.5;
+
 // Greedy search within one set of candidates: task by task, takes the worker
 // where making room for one more task costs least.
 class Search {
@@ -38,6 +47,7 @@
   }
 
   std::optional<ReclaimPlan> Run(const std::vector<size_t>& within) {
+    Reset();
     while (static_cast<int>(plan_.placement.size()) < demand_.tasks) {
       double best_cost = std::numeric_limits<double>::infinity();
       size_t best = 0;
@@ -61,6 +71,19 @@
   }
 
  private:
+  // Forgets the last plan.
+  void Reset() {
+    plan_ = ReclaimPlan();
+    for (const size_t n : touched_) {
+      free_[n] = candidates_[n].free;
+      taken_[n] = 0;
+    }
+    touched_.clear();
+    for (const size_t group : stopped_groups_)
+      stopped_[group] = false;
+    stopped_groups_.clear();
+  }
+
   bool HasRoom(size_t n, const Resources& free) const {
     const bool below_limit =
         demand_.max_per_worker == 0 || taken_[n] < demand_.max_per_worker;
@@ -91,12 +114,17 @@
   void Apply(size_t n, const std::vector<size_t>& victims) {
     for (const size_t group : victims) {
       stopped_[group] = true;
+      stopped_groups_.push_back(group);
       plan_.victims.push_back(group);
       plan_.cost += groups_[group].cost;
-      for (const VictimGroup::Member& it : groups_[group].members)
+      plan_.lost_work += groups_[group].lost_work;
+      for (const VictimGroup::Member& it : groups_[group].members) {
         free_[it.candidate] += it.resources;
+        touched_.push_back(it.candidate);
+      }
     }
     free_[n] -= demand_.each;
+    touched_.push_back(n);
     ++taken_[n];
     plan_.placement.push_back(n);
   }
@@ -108,6 +136,8 @@
   std::vector<int> taken_;
   std::vector<bool> stopped_;
   std::vector<std::vector<size_t>> on_worker_;
+  std::vector<size_t> touched_;
+  std::vector<size_t> stopped_groups_;
   ReclaimPlan plan_;
 };
 
@@ -126,14 +156,24 @@
     all.push_back(n);
   }
   std::optional<ReclaimPlan> best;
+  Search search(candidates, groups, demand);
   for (const auto& [rack, within] : racks) {
-    auto plan = Search(candidates, groups, demand).Run(within);
+    auto plan = search.Run(within);
     if (plan && (!best || plan->cost < best->cost))
       best = std::move(plan);
   }
   if (!best && (allow_spread || !demand.rack_local))
-    best = Search(candidates, groups, demand).Run(all);
+    best = search.Run(all);
   return best;
 }
 
+bool IsReclaimWorthwhile(const ReclaimPlan& plan,
+                         double job_size,
+                         bool guaranteed,
+                         Duration waited) {
+  if (guaranteed && waited >= kGuaranteedPatience)
+    return true;
+  return plan.lost_work <= kBaseAllowance + kAllowancePerWork * job_size;
+}
+
 }  // namespace quetzalshelf::batch
--- a/servers/batch/victims.h
+++ b/servers/batch/victims.h
@@ -8,13 +8,16 @@
 #include <string>
 #include <vector>
 
+#include "core/time.h"
 #include "servers/batch/placement.h"
 
 namespace quetzalshelf::batch {
 
 // Runs that end together: one run, or all members of a gang.
 struct VictimGroup {
-  // What stopping the group costs, in core-seconds weighted by its importance.
+  // Work since the last checkpoint, in core-seconds.
+  double lost_work = 0;
+  // The lost work weighted by the importance of its job.
   double cost = 0;
   struct Member {
     size_t candidate = 0;
@@ -27,15 +30,25 @@
   Placement placement;
   std::vector<size_t> victims;  // Indexes of the groups to stop.
   double cost = 0;
+  double lost_work = 0;  // In core-seconds.
 };
 
 // The cheapest plan found for all tasks of `demand`, in one rack unless
 // `allow_spread`; nullopt when even stopping all groups does not suffice.
+// Groups without members are passed over.
 std::optional<ReclaimPlan> PlanReclaim(const std::vector<Candidate>& candidates,
                                        const std::vector<VictimGroup>& groups,
                                        const Demand& demand,
                                        bool allow_spread);
 
+// Whether an urgent job gains more by starting now than is thrown away.
+// `job_size` is the work of the job in core-seconds; `waited` is the time since
+// its acceptance.
+bool IsReclaimWorthwhile(const ReclaimPlan& plan,
+                         double job_size,
+                         bool guaranteed,
+                         Duration waited);
+
 }  // namespace quetzalshelf::batch
 
 #endif  // SERVERS_BATCH_VICTIMS_H_
