Order syncs and confirmations by events, bound leases of silent workers

Ruled out: late orders (none in the traces). Change: a counter of events orders both; silent workers get no lease; failing and unreachable workers are avoided at once; starts grant a short lease; tasks leave a draining worker that they would outlive.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -13,7 +13,7 @@
 constexpr Duration kTick{25};
 // A peer in the same region answers a connection within milliseconds; the
 // first packet of a connection is repeated after a second.
-constexpr Duration kConnectTimeout{500};
+constexpr Duration kConnectTimeout{300};
 constexpr Duration kMaxIdle{20'000};
 constexpr int kIdleStoreConnections = 8;
 constexpr int kIdleWorkerConnections = 4;
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -96,12 +96,12 @@
                    const absl::StatusOr<OrderReply>& reply);
   void SendSync(Worker& worker, TimePoint now);
   void OnSyncReply(const WorkerId& id,
-                   TimePoint sent_at,
+                   uint64_t sent_event,
                    const absl::StatusOr<SyncReply>& reply);
   void ApplyEnds(Worker& worker, const SyncReply& reply, TimePoint now);
   void ApplyRuns(Worker& worker,
                  const SyncReply& reply,
-                 TimePoint sent_at,
+                 uint64_t sent_event,
                  TimePoint now);
   void StopStrayRun(const Worker& worker, const ListedRun& listed);
   void RequestStop(Run& run, TimePoint now);
@@ -143,6 +143,8 @@
   bool workers_read_ = false;
   bool retired_ = false;
   bool deposed_ = false;
+  // Orders syncs and confirmations within one tick of the clock.
+  uint64_t last_event_ = 0;
   bool pass_due_ = true;
   TimePoint last_pass_;
   TimePoint next_cleanup_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -14,7 +14,9 @@
 constexpr Duration kOrderRetry{20};
 // Members of a gang wait for each other; a start without a certain outcome is
 // given up well before they give up themselves (3 s).
-constexpr Duration kStartPatience{1'400};
+constexpr Duration kStartPatience{700};
+// Tries of a start that could not be sent at all.
+constexpr int kUnsentTries = 2;
 // A sync may wait this long for an end. Renews leases several times in their
 // length.
 constexpr Duration kSyncWait{1'500};
@@ -29,6 +31,23 @@
 // Back-off of a step after its run failed, by the number of failures.
 constexpr Duration kFailedPause{50};
 
+// Progress from which on a run's own speed tells more than its estimate.
+constexpr int kTellingPercent = 10;
+
+// Whether the run is expected to end before `limit`.
+bool FinishesBefore(const Run& run,
+                    const StepSpec& spec,
+                    TimePoint limit,
+                    TimePoint now) {
+  if (spec.long_running)
+    return false;
+  if (run.percent < kTellingPercent)
+    return run.started_at + spec.estimate <= limit;
+  const Duration elapsed = run.progressed_at - run.started_at;
+  const Duration left = elapsed * (100 - run.percent) / run.percent;
+  return std::max(now, run.progressed_at + left) <= limit;
+}
+
 bool HasOrders(RunPhase phase) {
   return phase != RunPhase::kRecording;
 }
@@ -76,6 +95,16 @@
     LoseRun(job, id, run.attempt, "the worker's leases have lapsed");
     return;
   }
+  if (run.phase == RunPhase::kRunning && worker.entry.draining &&
+      !FinishesBefore(run, job.spec(id.step), worker.leaves_at, now)) {
+    LOG(INFO) << "task " << ToString(id) << " leaves draining worker "
+              << run.worker << ": percent=" << run.percent
+              << " left_ms=" << (worker.leaves_at - now).count();
+    if (job.spec(id.step).gang)
+      StopStep(job, *job.FindStep(id), now);
+    else
+      RequestStop(run, now);
+  }
   if (run.in_flight || now < run.next_try || worker.entry.port == 0)
     return;
   if (run.phase == RunPhase::kStarting && !retired_) {
@@ -85,6 +114,7 @@
     }
     LOG(WARNING) << "task " << ToString(id) << " attempt=" << run.attempt
                  << " could not be started on worker " << run.worker;
+    worker.RecordUnreachable();
     if (job.spec(id.step).gang)
       StopStep(job, *job.FindStep(id), now);
     else
@@ -105,7 +135,7 @@
   order.epoch = proof_.epoch;
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
-  order.lease_until_ms = worker.GrantLease(now);
+  order.lease_until_ms = worker.GrantLease(now, kStartLease);
   run.ordered = true;
   run.in_flight = true;
   port_.Start(
@@ -139,12 +169,22 @@
   if (!run)
     return;
   run->in_flight = false;
+  Job& job = *FindJob(id.job);
   if (!reply.ok()) {
-    run->uncertain = run->uncertain || !absl::IsUnavailable(reply.status());
     run->next_try = now + kOrderRetry;
+    if (absl::IsUnavailable(reply.status()))
+      ++run->unsent_tries;
+    else
+      run->uncertain = true;
+    if (run->phase != RunPhase::kStarting)
+      return;
+    if (run->unsent_tries >= kUnsentTries && !run->uncertain) {
+      worker.RecordUnreachable();
+      LoseRun(job, id, attempt, "the worker cannot be reached");
+      Tick(now);
+    }
     return;
   }
-  Job& job = *FindJob(id.job);
   if (reply->result == OrderResult::kFenced) {
     Depose("a worker knows a newer epoch");
     return;
@@ -156,7 +196,8 @@
     case OrderResult::kSuperseded:
       // A superseded run may have ended; the next sync tells.
       run->phase = RunPhase::kRunning;
-      run->phase_since = run->confirmed_at = now;
+      run->phase_since = now;
+      run->confirmed_event = ++last_event_;
       run->started_at = run->progressed_at = run->saved_at = now;
       if (reply->result == OrderResult::kSuperseded)
         worker.sync_soon = true;
@@ -254,7 +295,7 @@
     return;
   }
   run->stop_confirmed = true;
-  run->confirmed_at = now;
+  run->confirmed_event = ++last_event_;
   worker.sync_soon = true;
   Tick(now);
 }
@@ -292,9 +333,10 @@
   SyncRequest request;
   request.epoch = proof_.epoch;
   request.noted_ends = worker.noted_ends;
-  // A worker that has not been heard of has no known clock to grant a lease on.
-  if (worker.runs > 0 && worker.has_clock)
-    request.lease_until_ms = worker.GrantLease(now);
+  // A worker that does not answer gets no further leases: each try might be
+  // carried out late, and its runs would never be known to have lapsed.
+  if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0)
+    request.lease_until_ms = worker.GrantLease(now, kLeaseLength);
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
   if (may_wait)
@@ -303,19 +345,19 @@
   worker.sync_in_flight = true;
   port_.Sync(
       worker.entry, request, kSyncTimeout + request.wait,
-      [this, alive = alive_, id = worker.entry.id, now,
+      [this, alive = alive_, id = worker.entry.id, sent_event = ++last_event_,
        noted = request.noted_ends](const absl::StatusOr<SyncReply>& reply) {
         if (!*alive || deposed_)
           return;
         Worker* const known = book_.Find(id);
         if (known && reply.ok() && reply->result == OrderResult::kDone)
           known->told_ends = noted;
-        OnSyncReply(id, now, reply);
+        OnSyncReply(id, sent_event, reply);
       });
 }
 
 void Dispatcher::OnSyncReply(const WorkerId& id,
-                             TimePoint sent_at,
+                             uint64_t sent_event,
                              const absl::StatusOr<SyncReply>& reply) {
   const TimePoint now = clock_.Now();
   Worker& worker = book_.FindOrAdd(id, now);
@@ -346,7 +388,7 @@
   }
   worker.ObserveClock(reply->clock_ms, now);
   ApplyEnds(worker, *reply, now);
-  ApplyRuns(worker, *reply, sent_at, now);
+  ApplyRuns(worker, *reply, sent_event, now);
   NoteEnds(worker);
   worker.next_sync = worker.pending_ends.empty() ? now : now + kBlockedSync;
   if (news)
@@ -376,7 +418,7 @@
         step.retry_at = now + kFailedPause;
       }
       if (end.reason == EndReason::kDone)
-        worker.RecordSuccess();
+        worker.RecordSuccess(now);
       else if (job->spec(end.task.step).gang)
         StopStep(*job, step, now);
       if (job->IsFinal()) {
@@ -396,7 +438,7 @@
 
 void Dispatcher::ApplyRuns(Worker& worker,
                            const SyncReply& reply,
-                           TimePoint sent_at,
+                           uint64_t sent_event,
                            TimePoint now) {
   std::set<std::pair<TaskId, Attempt>> listed;
   for (const ListedRun& it : reply.runs) {
@@ -410,7 +452,8 @@
     if (run->phase == RunPhase::kStarting ||
         run->phase == RunPhase::kRecovered) {
       run->phase = RunPhase::kRunning;
-      run->phase_since = run->confirmed_at = now;
+      run->phase_since = now;
+      run->confirmed_event = ++last_event_;
       if (!job.begun()) {
         job.set_begun();
         Changed(job);
@@ -439,7 +482,7 @@
                 run.phase == RunPhase::kRunning ||
                 (run.phase == RunPhase::kStopping && run.stop_confirmed);
             if (run.phase == RunPhase::kRecovered ||
-                (confirmed && run.confirmed_at <= sent_at))
+                (confirmed && run.confirmed_event < sent_event))
               LoseRun(job, id, run.attempt, "the worker does not list it");
           }
           ++id.index;
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -60,6 +60,18 @@
   return weight * (lost_work + kRestartCost);
 }
 
+// Keeps a gang off workers whose last run failed, unless those are many: one
+// failing worker fails the whole gang.
+void AvoidSuspects(const std::vector<Candidate>& candidates, Demand& demand) {
+  std::vector<WorkerId> suspects;
+  for (const Candidate& it : candidates) {
+    if (it.penalty > 0)
+      suspects.push_back(it.worker->id);
+  }
+  if (suspects.size() * 2 <= candidates.size())
+    demand.avoid.insert(suspects.begin(), suspects.end());
+}
+
 }  // namespace
 
 // Waiting work that is placed together.
@@ -74,8 +86,7 @@
   std::vector<int> waiting;  // Indexes of the tasks to place.
 
   auto Rank() const {
-    return std::tuple(job->record().priority, !guaranteed, late, objective,
-                      id);
+    return std::tuple(job->record().priority, !guaranteed, late, objective, id);
   }
 };
 
@@ -116,7 +127,8 @@
     for (OccurrenceProgress& occurrence : job.occurrences()) {
       for (size_t n = 0; n < occurrence.steps.size(); ++n) {
         StepProgress& step = occurrence.steps[n];
-        const Resources each = MakeDemand(job.spec(static_cast<int>(n)), 1).each;
+        const Resources each =
+            MakeDemand(job.spec(static_cast<int>(n)), 1).each;
         for (const TaskProgress& task : step.tasks) {
           if (!task.run)
             continue;
@@ -227,8 +239,7 @@
       CandidatesOf(unit.job->record().service, pass);
   if (!unit.step->reserved.empty() && TryReserved(unit, pass))
     return;
-  Demand demand =
-      MakeDemand(*unit.spec, static_cast<int>(unit.waiting.size()));
+  Demand demand = MakeDemand(*unit.spec, static_cast<int>(unit.waiting.size()));
   for (const TaskProgress& it : unit.step->tasks) {
     if (it.run)
       demand.present.push_back(it.run->worker);
@@ -237,6 +248,8 @@
   // Better a worker on which the step has failed than none.
   if (demand.avoid.size() * 2 > candidates.size())
     demand.avoid.clear();
+  if (unit.spec->gang)
+    AvoidSuspects(candidates, demand);
   if (!unit.spec->gang) {
     const Placement placement = PlaceTasks(candidates, demand);
     if (!placement.empty())
@@ -262,9 +275,8 @@
   bool fits = true;
   Placement placement;
   for (const WorkerId& id : step.reserved) {
-    const auto it = std::ranges::find(candidates, id, [](const Candidate& c) {
-      return c.worker->id;
-    });
+    const auto it = std::ranges::find(
+        candidates, id, [](const Candidate& c) { return c.worker->id; });
     usable = usable && it != candidates.end();
     if (!usable)
       break;
@@ -344,9 +356,9 @@
   for (size_t n = 0; n < groups.size(); ++n) {
     const PassState::Victim& victim = pass.victims[n];
     // A guarantee reaches as far as the unguaranteed runs of its own priority.
-    const bool allowed = victim.priority > priority ||
-                         (unit.guaranteed && victim.priority == priority &&
-                          !victim.guaranteed);
+    const bool allowed =
+        victim.priority > priority ||
+        (unit.guaranteed && victim.priority == priority && !victim.guaranteed);
     if (!allowed)
       groups[n].members.clear();
   }
@@ -358,8 +370,9 @@
                                     unit.guaranteed, waited))
     return false;
   reclaims_.Add();
-  LOG(INFO) << "step " << ToString(unit.id) << " reclaims workers: groups="
-            << plan->victims.size() << " lost_core_s=" << plan->lost_work
+  LOG(INFO) << "step " << ToString(unit.id)
+            << " reclaims workers: groups=" << plan->victims.size()
+            << " lost_core_s=" << plan->lost_work
             << " guaranteed=" << unit.guaranteed
             << " waited_ms=" << waited.count();
   for (const size_t n : plan->victims) {
@@ -397,8 +410,7 @@
                         PassState& pass) {
   Job& job = *unit.job;
   StepProgress& step = *unit.step;
-  std::vector<Candidate>& candidates =
-      CandidatesOf(job.record().service, pass);
+  std::vector<Candidate>& candidates = CandidatesOf(job.record().service, pass);
   const Resources each = MakeDemand(*unit.spec, 1).each;
   const Attempt gang_attempt = Job::NextAttempt(step);
   for (size_t n = 0; n < placement.size(); ++n) {
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -219,6 +219,10 @@
 }
 
 JobPhase Job::phase() const {
+  // A final phase never changes, whatever the tasks of the row say.
+  if (restored_phase_ == JobPhase::kComplete ||
+      restored_phase_ == JobPhase::kFailed)
+    return *restored_phase_;
   const bool complete =
       std::ranges::all_of(occurrences_, [](const OccurrenceProgress& it) {
         return std::ranges::all_of(it.steps, &Job::IsDone);
@@ -266,8 +270,10 @@
 
 std::string Job::EncodeState() const {
   json tasks = json::array();
+  const bool over = IsFinal() && !HasAnyRun();
   ForEachTask([&](const TaskId& id, const TaskProgress& task) {
-    if (!HasProgress(task))
+    // The phase tells all about a job that is over.
+    if (over || !HasProgress(task))
       return;
     tasks.push_back({id.occurrence, id.step, id.index, task.done ? 1 : 0,
                      task.attempt.value(), task.failures, task.checkpoint,
@@ -285,8 +291,8 @@
   if (!body.is_object() || !body.contains("tasks"))
     return false;
   begun_ = body.value("begun", false);
-  cancelled_ =
-      body.value("phase", "") == std::string(ToString(JobPhase::kCancelled));
+  restored_phase_ = FindPhase(body.value("phase", ""));
+  cancelled_ = restored_phase_ == JobPhase::kCancelled;
   for (const json& row : body["tasks"]) {
     if (!IsReadableTask(row))
       return false;
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -38,8 +38,11 @@
   bool ordered = false;    // A start order was sent.
   bool in_flight = false;  // An order waits for its answer.
   bool uncertain = false;  // An order had no answer.
+  int unsent_tries = 0;    // Starts that could not be sent.
   TimePoint next_try;
-  TimePoint confirmed_at;  // The start or the stop was answered.
+  // Position among the dispatcher's events at which the start or the stop was
+  // answered. Syncs that were sent before do not tell about it.
+  uint64_t confirmed_event = 0;
   bool stop_confirmed = false;
   int percent = 0;
   TimePoint started_at;
@@ -155,6 +158,7 @@
   TimePoint accepted_at_;
   bool cancelled_ = false;
   bool begun_ = false;
+  std::optional<JobPhase> restored_phase_;  // Of the row that was restored.
 };
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/worker_book.cc
+++ b/servers/batch/worker_book.cc
@@ -9,10 +9,11 @@
 
 namespace {
 
-// Failed runs of different jobs in a row after which a worker is set aside.
-constexpr int kFailuresToAvoid = 2;
-// First time that a failing worker is set aside; doubles with each further
-// failure. About one run of an urgent task.
+// A failure within this time of a success on the same worker is taken for the
+// job's own fault.
+constexpr Duration kRecentSuccess{1'000};
+// First time that a failing worker is set aside; doubles with each further job
+// that fails there in a row. About one run of an urgent task.
 constexpr Duration kFirstAvoidance{2'500};
 constexpr Duration kLongestAvoidance{10'000};
 // A worker with a recent failure is taken last for this long.
@@ -29,11 +30,11 @@
   return clock_ms + static_cast<int64_t>(std::floor(elapsed * kSlowestClock));
 }
 
-int64_t Worker::GrantLease(TimePoint now) {
+int64_t Worker::GrantLease(TimePoint now, Duration length) {
   const auto longest = static_cast<int64_t>(
-      std::ceil(static_cast<double>(kLeaseLength.count()) / kSlowestClock));
+      std::ceil(static_cast<double>(length.count()) / kSlowestClock));
   leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
-  return EstimateClock(now) + kLeaseLength.count();
+  return EstimateClock(now) + length.count();
 }
 
 void Worker::ObserveClock(int64_t clock, TimePoint now) {
@@ -64,18 +65,25 @@
   last_failure = now;
   failed_jobs.insert(job);
   failures_in_row = static_cast<int>(failed_jobs.size());
-  if (failures_in_row < kFailuresToAvoid)
+  if (now - last_success <= kRecentSuccess)
     return;
   Duration pause = kFirstAvoidance;
-  for (int n = kFailuresToAvoid; n < failures_in_row; ++n)
+  for (int n = 1; n < failures_in_row; ++n)
     pause = std::min(pause * 2, kLongestAvoidance);
   avoid_until = now + pause;
   LOG(WARNING) << "worker " << entry.id
-               << " set aside after failed runs of different jobs: jobs="
-               << failures_in_row << " for_ms=" << pause.count();
+               << " set aside after failed runs: jobs=" << failures_in_row
+               << " for_ms=" << pause.count();
 }
 
-void Worker::RecordSuccess() {
+void Worker::RecordUnreachable() {
+  if (synced)
+    LOG(WARNING) << "worker " << entry.id << " does not answer orders";
+  synced = false;
+}
+
+void Worker::RecordSuccess(TimePoint now) {
+  last_success = now;
   failures_in_row = 0;
   failed_jobs.clear();
   avoid_until = TimePoint();
@@ -103,6 +111,9 @@
               << " rack=" << entry.rack << " draining=" << entry.draining
               << " reborn=" << reborn;
   }
+  // Later entries repeat the notice; the first one counts.
+  if (entry.draining && (!worker.entry.draining || reborn))
+    worker.leaves_at = now + entry.remaining;
   worker.entry = entry;
   worker.listed = true;
   if (reborn)
--- a/servers/batch/worker_book.h
+++ b/servers/batch/worker_book.h
@@ -16,6 +16,10 @@
 // Time that a lease granted now lasts on the worker's clock. Long enough for a
 // new leader to take over and renew it, below the platform's longest lease.
 inline constexpr Duration kLeaseLength{5'000};
+// Lease that a start order grants to an idle worker. It is renewed as soon as
+// the start is confirmed; until then it bounds how long a start without an
+// answer can be carried out.
+inline constexpr Duration kStartLease{2'000};
 // A worker's clock runs at least at this share of the true speed.
 inline constexpr double kSlowestClock = 0.98;
 // Longest lease that any leader can have granted.
@@ -26,6 +30,7 @@
 struct Worker {
   WorkerEntry entry;
   bool listed = false;  // The platform lists it.
+  TimePoint leaves_at;  // While it drains: not before this time.
   // Some answer came under the present epoch, so that orders of former leaders
   // are refused there.
   bool synced = false;
@@ -54,6 +59,7 @@
   std::set<JobId> failed_jobs;  // Of the present row of failures.
   TimePoint avoid_until;
   TimePoint last_failure;
+  TimePoint last_success;
 
   int runs = 0;    // With an order sent; recounted at each tick.
   Resources used;  // By all runs and reservations; recounted for a pass.
@@ -61,13 +67,15 @@
   int64_t EstimateClock(TimePoint now) const;
   // The end of a lease granted now, on the worker's clock; notes how long it
   // can last.
-  int64_t GrantLease(TimePoint now);
+  int64_t GrantLease(TimePoint now, Duration length);
   void ObserveClock(int64_t clock, TimePoint now);
   // A new life of the worker: its numbers start again.
   void Rebirth(int64_t born_wall_ms);
 
   void RecordFailure(const JobId& job, TimePoint now);
-  void RecordSuccess();
+  void RecordSuccess(TimePoint now);
+  // An order did not reach it; it gets no tasks before it answers a sync.
+  void RecordUnreachable();
   // Whether it may be given tasks as far as its own state goes.
   bool IsUsable(TimePoint now) const;
   // Larger is worse; see Candidate.
