Send orders as events come in and let strong VMs lead

Cause: each answer of a worker made the leader walk over all runs and workers; on a VM with 0.12 of a core the decisions came late. Ruled out: the store (rates far from their limits), lost answers. Change: due runs, workers and notes are indexed and served as events come in; a timer does the rest; passes are spaced by the number of workers; weak VMs wait longer before they take over.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // Period of the timers of a node; a leader's orders go out without waiting.
-constexpr Duration kTick{25};
+constexpr Duration kTick{40};
 // A peer in the same region answers a connection within milliseconds; the
 // first packet of a connection is repeated after a second.
 constexpr Duration kConnectTimeout{300};
@@ -33,6 +33,18 @@
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
 
+// Processor share that is enough to lead the largest site at hand.
+constexpr double kAmpleCpuShare = 0.5;
+constexpr Duration kLongestHandicap{600};
+
+// A leader's work grows with the site, so that VMs with more of a core go
+// first.
+Duration TakeoverHandicap(double cpu_share) {
+  const double lacking = std::clamp(1.0 - cpu_share / kAmpleCpuShare, 0.0, 1.0);
+  return Duration(static_cast<int64_t>(
+      lacking * static_cast<double>(kLongestHandicap.count())));
+}
+
 EventHttpClientOptions ClientOptions(int idle_per_destination) {
   return {.connect_timeout = kConnectTimeout,
           .max_idle = kMaxIdle,
@@ -76,7 +88,8 @@
              clock_,
              {.node = settings.node,
               .incarnation = IncarnationId(settings.node.value() + "-" +
-                                           std::to_string(seed))},
+                                           std::to_string(seed)),
+              .takeover_handicap = TakeoverHandicap(settings.cpu_share)},
              seed + 1),
       control_(
           store_,
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -17,8 +17,11 @@
 constexpr Duration kFinishedJobRetention{240'000};
 constexpr Duration kCleanupPeriod{5'000};
 constexpr Duration kCleanupTimeout{1'000};
-// Passes within this time are joined, so that a burst costs few of them.
-constexpr Duration kPassSpacing{10};
+// Changes within this time are joined into one pass. A pass looks at every
+// worker, so the time grows with their number.
+constexpr Duration kMinPassSpacing{10};
+constexpr Duration kMaxPassSpacing{40};
+constexpr int64_t kWorkersPerPassMs = 10;
 // Bounds the age of a job when wall clocks have jumped.
 constexpr Duration kLongestAge{600'000};
 
@@ -93,13 +96,9 @@
   if (!job_rows_->ready() || !cancel_rows_->ready())
     return;
   TickRuns(now);
-  TickWorkers(now);
-  if (pass_due_ && now - last_pass_ >= kPassSpacing && MayStart(now)) {
-    last_pass_ = now;
-    pass_due_ = false;
-    Pass(now);
-  }
-  writer_.Pump(now);
+  for (auto& [id, worker] : book_.workers())
+    TickWorker(worker, now);
+  Pump(now);
   if (now >= next_cleanup_) {
     next_cleanup_ = now + kCleanupPeriod;
     pass_due_ = true;
@@ -107,6 +106,33 @@
   }
 }
 
+void Dispatcher::Pump(TimePoint now) {
+  if (deposed_ || !job_rows_->ready() || !cancel_rows_->ready())
+    return;
+  if (pass_due_ && now - last_pass_ >= PassSpacing() && MayStart(now)) {
+    last_pass_ = now;
+    pass_due_ = false;
+    Pass(now);
+  }
+  for (const TaskId& id : std::exchange(due_runs_, {})) {
+    Job* const job = FindJob(id.job);
+    TaskProgress* const task = job ? job->Find(id) : nullptr;
+    if (task && task->run)
+      TickRun(*job, id, *task, now);
+  }
+  for (const WorkerId& id : std::exchange(due_workers_, {})) {
+    if (Worker* const worker = book_.Find(id))
+      TickWorker(*worker, now);
+  }
+  writer_.Pump(now);
+}
+
+Duration Dispatcher::PassSpacing() {
+  const auto workers = static_cast<int64_t>(book_.workers().size());
+  return std::clamp(Duration(workers / kWorkersPerPassMs), kMinPassSpacing,
+                    kMaxPassSpacing);
+}
+
 bool Dispatcher::MayStart(TimePoint now) const {
   return !retired_ && !deposed_ && workers_read_ && job_rows_->ready() &&
          cancel_rows_->ready() && site_.config() &&
@@ -129,7 +155,7 @@
     if (!it.deleted && !jobs_.contains(JobId(it.id.key)))
       AddJob(it, now);
   }
-  Tick(now);
+  Pump(now);
 }
 
 void Dispatcher::AddJob(const StoreRow& row, TimePoint now) {
@@ -178,7 +204,7 @@
     if (Job* const job = FindJob(id))
       CancelJob(*job, now);
   }
-  Tick(now);
+  Pump(now);
 }
 
 void Dispatcher::CancelJob(Job& job, TimePoint now) {
@@ -186,10 +212,7 @@
     return;
   LOG(INFO) << "job " << job.record().id << " cancelled";
   job.Cancel();
-  for (OccurrenceProgress& occurrence : job.occurrences()) {
-    for (StepProgress& step : occurrence.steps)
-      StopStep(job, step, now);
-  }
+  StopUnfinished(job, now);
   Changed(job);
 }
 
@@ -224,32 +247,44 @@
   if (job->revision > revision)
     writer_.MarkDirty(id);
   const TimePoint now = clock_.Now();
+  TaskId task_id{id};
   for (OccurrenceProgress& occurrence : job->occurrences()) {
+    task_id.step = 0;
     for (StepProgress& step : occurrence.steps) {
+      task_id.index = 0;
       for (TaskProgress& task : step.tasks) {
         if (task.run && task.run->phase == RunPhase::kRecording &&
             task.run->revision <= job->committed_revision) {
           task.run->phase = RunPhase::kStarting;
           task.run->phase_since = now;
+          due_runs_.insert(task_id);
         }
+        ++task_id.index;
       }
+      ++task_id.step;
     }
+    ++task_id.occurrence;
   }
-  for (auto& [worker_id, worker] : book_.workers())
-    NoteEnds(worker);
-  Tick(now);
+  for (const WorkerId& worker_id : std::set<WorkerId>(noting_))
+    NoteEnds(*book_.Find(worker_id));
+  Pump(now);
 }
 
 void Dispatcher::NoteEnds(Worker& worker) {
   while (!worker.pending_ends.empty()) {
     const Worker::PendingEnd& end = worker.pending_ends.front();
     const Job* const job = FindJob(end.job);
-    if (job && job->committed_revision < end.revision)
+    if (job && job->committed_revision < end.revision) {
+      noting_.insert(worker.entry.id);
       return;
+    }
     worker.noted_ends = end.number;
     worker.pending_ends.pop_front();
     worker.sync_soon = true;
+    worker.next_sync = TimePoint();
+    due_workers_.insert(worker.entry.id);
   }
+  noting_.erase(worker.entry.id);
 }
 
 void Dispatcher::OnWorkers(const std::vector<WorkerEntry>& entries,
@@ -262,7 +297,7 @@
   book_.KeepOnly(listed);
   workers_read_ = true;
   pass_due_ = true;
-  Tick(now);
+  Pump(now);
 }
 
 void Dispatcher::OnWorker(const WorkerEntry& entry, TimePoint now) {
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -45,7 +45,7 @@
              uint64_t seed);
   ~Dispatcher();
 
-  // Call about every 20 ms, and after other calls that change something.
+  // Call about every 40 ms; what cannot wait is done as events come in.
   void Tick(TimePoint now);
 
   // The list of workers as the platform has it.
@@ -75,7 +75,10 @@
   std::optional<StateRow> MakeStateRow(const JobId& id);
   void OnStateCommitted(const JobId& id, uint64_t revision, RowVersion version);
   void NoteEnds(Worker& worker);
+  // Sends what recent events have made due.
+  void Pump(TimePoint now);
   bool MayStart(TimePoint now) const;
+  Duration PassSpacing();
   void Depose(const std::string& reason);
   Job* FindJob(const JobId& id);
   void ForgetOldJobs(TimePoint now);
@@ -83,7 +86,7 @@
   // dispatcher_orders.cc: orders to workers.
   void TickRuns(TimePoint now);
   void TickRun(Job& job, const TaskId& id, TaskProgress& task, TimePoint now);
-  void TickWorkers(TimePoint now);
+  void TickWorker(Worker& worker, TimePoint now);
   void SendStart(Job& job, const TaskId& id, Run& run, TimePoint now);
   void OnStartReply(const TaskId& id,
                     Attempt attempt,
@@ -104,8 +107,11 @@
                  uint64_t sent_event,
                  TimePoint now);
   void StopStrayRun(const Worker& worker, const ListedRun& listed);
-  void RequestStop(Run& run, TimePoint now);
-  void StopStep(Job& job, StepProgress& step, TimePoint now);
+  void RequestStop(const TaskId& id, Run& run, TimePoint now);
+  // Stops all runs of the step that `id` names.
+  void StopStep(Job& job, const TaskId& id, TimePoint now);
+  // Stops all runs of steps that are not done.
+  void StopUnfinished(Job& job, TimePoint now);
   void LoseRun(Job& job, const TaskId& id, Attempt attempt, const char* why);
   Run* FindRun(const TaskId& id, Attempt attempt, const WorkerId& worker);
 
@@ -145,6 +151,9 @@
   bool deposed_ = false;
   // Orders syncs and confirmations within one tick of the clock.
   uint64_t last_event_ = 0;
+  std::set<TaskId> due_runs_;       // Their next order is due.
+  std::set<WorkerId> due_workers_;  // To be synced.
+  std::set<WorkerId> noting_;       // With ends that wait for the store.
   bool pass_due_ = true;
   TimePoint last_pass_;
   TimePoint next_cleanup_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -55,8 +55,10 @@
 }  // namespace
 
 void Dispatcher::TickRuns(TimePoint now) {
-  for (auto& [id, worker] : book_.workers())
+  for (auto& [id, worker] : book_.workers()) {
     worker.runs = 0;
+    worker.assigned.clear();
+  }
   for (auto it = live_.begin(); it != live_.end();) {
     Job& job = *jobs_.at(*it);
     bool has_runs = false;
@@ -66,8 +68,13 @@
       for (StepProgress& step : occurrence.steps) {
         id.index = 0;
         for (TaskProgress& task : step.tasks) {
-          if (task.run)
+          if (task.run) {
+            Worker& worker = book_.FindOrAdd(task.run->worker, now);
+            worker.assigned.push_back(id);
+            if (HasOrders(task.run->phase))
+              ++worker.runs;
             TickRun(job, id, task, now);
+          }
           has_runs = has_runs || task.run.has_value();
           ++id.index;
         }
@@ -86,8 +93,6 @@
                          TimePoint now) {
   Run& run = *task.run;
   Worker& worker = book_.FindOrAdd(run.worker, now);
-  if (HasOrders(run.phase))
-    ++worker.runs;
   // Nothing of it can run any more once every lease has lapsed there. Before
   // the first order, the worker's last lease says nothing about the run.
   const bool lapsed = run.ordered && now > worker.leases_end;
@@ -101,9 +106,9 @@
               << run.worker << ": percent=" << run.percent
               << " left_ms=" << (worker.leaves_at - now).count();
     if (job.spec(id.step).gang)
-      StopStep(job, *job.FindStep(id), now);
+      StopStep(job, id, now);
     else
-      RequestStop(run, now);
+      RequestStop(id, run, now);
   }
   if (run.in_flight || now < run.next_try || worker.entry.port == 0)
     return;
@@ -116,9 +121,9 @@
                  << " could not be started on worker " << run.worker;
     worker.RecordUnreachable();
     if (job.spec(id.step).gang)
-      StopStep(job, *job.FindStep(id), now);
+      StopStep(job, id, now);
     else
-      RequestStop(run, now);
+      RequestStop(id, run, now);
   }
   if (run.phase == RunPhase::kStopping && !run.stop_confirmed)
     SendStop(id, run, now);
@@ -137,6 +142,7 @@
   order.checkpoint = job.Find(id)->checkpoint;
   order.lease_until_ms = worker.GrantLease(now, kStartLease);
   run.ordered = true;
+  ++worker.runs;
   run.in_flight = true;
   port_.Start(
       worker.entry, order, kOrderTimeout,
@@ -181,7 +187,7 @@
     if (run->unsent_tries >= kUnsentTries && !run->uncertain) {
       worker.RecordUnreachable();
       LoseRun(job, id, attempt, "the worker cannot be reached");
-      Tick(now);
+      Pump(now);
     }
     return;
   }
@@ -201,12 +207,14 @@
       run->started_at = run->progressed_at = run->saved_at = now;
       if (reply->result == OrderResult::kSuperseded)
         worker.sync_soon = true;
+      due_workers_.insert(worker_id);
       starts_.Add();
       start_delay_.Record(
           static_cast<double>((now - job.FindStep(id)->ready_since).count()));
       LOG(INFO) << "task " << ToString(id) << " started: worker=" << worker_id
                 << " attempt=" << attempt << " superseded="
                 << (reply->result == OrderResult::kSuperseded);
+      Pump(now);
       return;
     case OrderResult::kLeaseInPast:
       run->next_try = now + kOrderRetry;
@@ -223,15 +231,15 @@
   StepProgress& step = *job.FindStep(id);
   step.retry_at = now + kRefusedPause;
   if (run->uncertain)
-    RequestStop(*run, now);
+    RequestStop(id, *run, now);
   else
     LoseRun(job, id, attempt, "the worker refused to start it");
   if (job.spec(id.step).gang)
-    StopStep(job, step, now);
-  Tick(now);
+    StopStep(job, id, now);
+  Pump(now);
 }
 
-void Dispatcher::RequestStop(Run& run, TimePoint now) {
+void Dispatcher::RequestStop(const TaskId& id, Run& run, TimePoint now) {
   if (run.phase == RunPhase::kStopping)
     return;
   run.phase = RunPhase::kStopping;
@@ -239,11 +247,16 @@
   run.next_try = now;
   run.stop_confirmed = false;
   run.in_flight = false;
+  due_runs_.insert(id);
 }
 
-void Dispatcher::StopStep(Job& job, StepProgress& step, TimePoint now) {
+void Dispatcher::StopStep(Job& job, const TaskId& id, TimePoint now) {
+  StepProgress& step = *job.FindStep(id);
   step.reserved.clear();
+  TaskId task_id = id;
+  task_id.index = -1;
   for (TaskProgress& it : step.tasks) {
+    ++task_id.index;
     if (!it.run)
       continue;
     if (it.run->phase == RunPhase::kRecording) {
@@ -252,7 +265,20 @@
       Changed(job);
       continue;
     }
-    RequestStop(*it.run, now);
+    RequestStop(task_id, *it.run, now);
+  }
+}
+
+void Dispatcher::StopUnfinished(Job& job, TimePoint now) {
+  TaskId id{job.record().id};
+  for (OccurrenceProgress& occurrence : job.occurrences()) {
+    id.step = 0;
+    for (StepProgress& step : occurrence.steps) {
+      if (!Job::IsDone(step))
+        StopStep(job, id, now);
+      ++id.step;
+    }
+    ++id.occurrence;
   }
 }
 
@@ -297,7 +323,8 @@
   run->stop_confirmed = true;
   run->confirmed_event = ++last_event_;
   worker.sync_soon = true;
-  Tick(now);
+  due_workers_.insert(worker_id);
+  Pump(now);
 }
 
 void Dispatcher::LoseRun(Job& job,
@@ -311,22 +338,19 @@
             << " has no run any more: " << why;
   // The other members of a gang cannot work on.
   if (job.spec(id.step).gang)
-    StopStep(job, *job.FindStep(id), clock_.Now());
+    StopStep(job, id, clock_.Now());
   Changed(job);
 }
 
-void Dispatcher::TickWorkers(TimePoint now) {
-  for (auto& [id, worker] : book_.workers()) {
-    if (worker.sync_in_flight || worker.entry.port == 0 ||
-        now < worker.next_sync)
-      continue;
-    const bool wanted = worker.runs > 0 || worker.sync_soon ||
-                        !worker.pending_ends.empty() ||
-                        worker.told_ends < worker.noted_ends;
-    const bool greet = worker.listed && !worker.synced;
-    if (wanted || greet)
-      SendSync(worker, now);
-  }
+void Dispatcher::TickWorker(Worker& worker, TimePoint now) {
+  if (worker.sync_in_flight || worker.entry.port == 0 || now < worker.next_sync)
+    return;
+  const bool wanted = worker.runs > 0 || worker.sync_soon ||
+                      !worker.pending_ends.empty() ||
+                      worker.told_ends < worker.noted_ends;
+  const bool greet = worker.listed && !worker.synced;
+  if (wanted || greet)
+    SendSync(worker, now);
 }
 
 void Dispatcher::SendSync(Worker& worker, TimePoint now) {
@@ -393,7 +417,8 @@
   worker.next_sync = worker.pending_ends.empty() ? now : now + kBlockedSync;
   if (news)
     pass_due_ = true;
-  Tick(now);
+  due_workers_.insert(id);
+  Pump(now);
 }
 
 void Dispatcher::ApplyEnds(Worker& worker,
@@ -420,15 +445,9 @@
       if (end.reason == EndReason::kDone)
         worker.RecordSuccess(now);
       else if (job->spec(end.task.step).gang)
-        StopStep(*job, step, now);
-      if (job->IsFinal()) {
-        for (OccurrenceProgress& occurrence : job->occurrences()) {
-          for (StepProgress& it : occurrence.steps) {
-            if (!Job::IsDone(it))
-              StopStep(*job, it, now);
-          }
-        }
-      }
+        StopStep(*job, end.task, now);
+      if (job->IsFinal())
+        StopUnfinished(*job, now);
       Changed(*job);
     }
     worker.pending_ends.push_back(
@@ -465,32 +484,22 @@
     }
     job.SaveCheckpoint(it.task, it.checkpoint, now);
   }
-  // Runs that the worker must know of and does not list are gone.
-  for (const JobId& job_id : live_) {
-    Job& job = *jobs_.at(job_id);
-    TaskId id{job_id};
-    for (OccurrenceProgress& occurrence : job.occurrences()) {
-      id.step = 0;
-      for (StepProgress& step : occurrence.steps) {
-        id.index = 0;
-        for (TaskProgress& task : step.tasks) {
-          const bool here = task.run && task.run->worker == worker.entry.id &&
-                            !listed.contains({id, task.run->attempt});
-          if (here) {
-            const Run& run = *task.run;
-            const bool confirmed =
-                run.phase == RunPhase::kRunning ||
-                (run.phase == RunPhase::kStopping && run.stop_confirmed);
-            if (run.phase == RunPhase::kRecovered ||
-                (confirmed && run.confirmed_event < sent_event))
-              LoseRun(job, id, run.attempt, "the worker does not list it");
-          }
-          ++id.index;
-        }
-        ++id.step;
-      }
-      ++id.occurrence;
-    }
+  // Runs that the worker must know of and does not list are gone. The index
+  // lacks the newest runs, which the next sync looks at.
+  for (const TaskId& id : std::vector<TaskId>(worker.assigned)) {
+    Job* const job = FindJob(id.job);
+    TaskProgress* const task = job ? job->Find(id) : nullptr;
+    if (!task || !task->run || task->run->worker != worker.entry.id)
+      continue;
+    const Run& run = *task->run;
+    if (listed.contains({id, run.attempt}))
+      continue;
+    const bool confirmed =
+        run.phase == RunPhase::kRunning ||
+        (run.phase == RunPhase::kStopping && run.stop_confirmed);
+    if (run.phase == RunPhase::kRecovered ||
+        (confirmed && run.confirmed_event < sent_event))
+      LoseRun(*job, id, run.attempt, "the worker does not list it");
   }
 }
 
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -391,7 +391,7 @@
 
 void Dispatcher::StopVictim(Job& job, const TaskId& id, TimePoint now) {
   if (job.spec(id.step).gang) {
-    StopStep(job, *job.FindStep(id), now);
+    StopStep(job, id, now);
     return;
   }
   TaskProgress& task = *job.Find(id);
@@ -401,7 +401,7 @@
     task.run.reset();
     Changed(job);
   } else {
-    RequestStop(*task.run, now);
+    RequestStop(id, *task.run, now);
   }
 }
 
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -86,15 +86,22 @@
   }
   if (retired_)
     return;
+  if (rows_known_since_ == TimePoint())
+    rows_known_since_ = now;
+  // Keeps candidates from racing on the same row version.
+  const Duration delay = jitter_ + options_.takeover_handicap;
   if (released_) {
-    // The jitter keeps candidates from racing on the same row version.
-    if (now >= heartbeat_at_ + jitter_ / 3)
+    if (now >= heartbeat_at_ + delay / 3)
+      Acquire(now);
+    return;
+  }
+  if (epoch_row_.version == RowVersion(0)) {
+    if (now >= rows_known_since_ + delay)
       Acquire(now);
     return;
   }
   const TimePoint silent_since = std::max(heartbeat_at_, steady_since);
-  if (confirmed_at >= silent_since + options_.takeover + jitter_ ||
-      epoch_row_.version == RowVersion(0))
+  if (confirmed_at >= silent_since + options_.takeover + delay)
     Acquire(now);
 }
 
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -30,6 +30,8 @@
   Duration takeover{1'500};
   // Spreads the candidates, so that one of them usually wins alone.
   Duration takeover_jitter{300};
+  // Added for a weak VM, so that a stronger one leads if there is one.
+  Duration takeover_handicap{0};
 };
 
 // The row that proves leadership; conditions on it fence a deposed leader.
@@ -100,6 +102,7 @@
   TimePoint next_heartbeat_;
   TimePoint next_try_;
   Duration jitter_{0};
+  TimePoint rows_known_since_;
 };
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/worker_book.h
+++ b/servers/batch/worker_book.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "core/time.h"
 #include "servers/batch/types.h"
@@ -61,7 +62,9 @@
   TimePoint last_failure;
   TimePoint last_success;
 
-  int runs = 0;    // With an order sent; recounted at each tick.
+  int runs = 0;  // With an order sent; recounted at each tick.
+  // Tasks with a run there, as of the last tick.
+  std::vector<TaskId> assigned;
   Resources used;  // By all runs and reservations; recounted for a pass.
 
   int64_t EstimateClock(TimePoint now) const;
