Keep the emptiest racks for urgent gangs

Ruled out: late orders (starts within 30 ms where there was room). Change: work that can still wait stays out of the emptiest racks, 18% of the accelerators.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -123,6 +123,8 @@
   std::vector<Candidate>& CandidatesOf(const ServiceName& service,
                                        PassState& pass);
   void CollectVictims(PassState& pass, const ServiceName& service);
+  // Whether the unit can start later and still be on time.
+  bool CanWait(const Unit& unit, TimePoint now) const;
   void StartUnit(Unit& unit, PassState& pass);
   bool TryReserved(Unit& unit, PassState& pass);
   bool TryReclaim(Unit& unit, const Demand& demand, PassState& pass);
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -23,6 +23,13 @@
 constexpr Duration kReservationLimit{2'500};
 // A reclaim that was not possible is not tried again before this time.
 constexpr Duration kReclaimRetry{60};
+// Share of a service's accelerators that is kept for urgent gangs while other
+// work can still wait.
+constexpr double kHeadroomShare = 0.18;
+// Work that can wait is due to start when this multiple of its estimated run
+// time is left before its objective.
+constexpr double kEstimateMargin = 1.3;
+constexpr Duration kWaitMargin{1'000};
 // Occurrences start this long after their time, since the clocks of VMs differ
 // a little.
 constexpr int64_t kDueMarginMs = 30;
@@ -102,6 +109,8 @@
   TimePoint now;
   std::set<JobId> guaranteed;
   std::map<ServiceName, std::vector<Candidate>> candidates;
+  // Racks kept free of work that can wait; chosen when urgent work is placed.
+  std::map<ServiceName, std::set<RackId>> headroom;
   // Built when the first unit wants to reclaim.
   bool has_victims = false;
   std::vector<VictimGroup> groups;
@@ -234,6 +243,15 @@
   return candidates;
 }
 
+bool Dispatcher::CanWait(const Unit& unit, TimePoint now) const {
+  if (unit.job->record().priority == 0)
+    return false;
+  const Duration run_time(static_cast<int64_t>(
+      kEstimateMargin *
+      static_cast<double>(unit.job->ChainEstimate().count())));
+  return now + run_time + kWaitMargin < unit.objective;
+}
+
 void Dispatcher::StartUnit(Unit& unit, PassState& pass) {
   std::vector<Candidate>& candidates =
       CandidatesOf(unit.job->record().service, pass);
@@ -250,6 +268,13 @@
     demand.avoid.clear();
   if (unit.spec->gang)
     AvoidSuspects(candidates, demand);
+  if (CanWait(unit, pass.now)) {
+    const auto [it, added] =
+        pass.headroom.try_emplace(unit.job->record().service);
+    if (added)
+      it->second = ChooseHeadroom(candidates, kHeadroomShare);
+    demand.avoid_racks = it->second;
+  }
   if (!unit.spec->gang) {
     const Placement placement = PlaceTasks(candidates, demand);
     if (!placement.empty())
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -1,6 +1,7 @@
 #include "servers/batch/placement.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <tuple>
@@ -106,7 +107,8 @@
 }
 
 bool IsEligible(const WorkerEntry& worker, const Demand& demand) {
-  if (demand.avoid.contains(worker.id))
+  if (demand.avoid.contains(worker.id) ||
+      demand.avoid_racks.contains(worker.rack))
     return false;
   return demand.required_label.empty() ||
          std::ranges::find(worker.labels, demand.required_label) !=
@@ -186,6 +188,38 @@
   return placement;
 }
 
+std::set<RackId> ChooseHeadroom(const std::vector<Candidate>& candidates,
+                                double share) {
+  struct Rack {
+    RackId id;
+    int64_t free = 0;
+    int64_t capacity = 0;
+  };
+  std::map<RackId, Rack> racks;
+  int64_t total = 0;
+  for (const Candidate& it : candidates) {
+    Rack& rack = racks[it.worker->rack];
+    rack.id = it.worker->rack;
+    rack.free += it.free.accelerators.value();
+    rack.capacity += it.worker->capacity.accelerators.value();
+    total += it.worker->capacity.accelerators.value();
+  }
+  std::vector<Rack> order;
+  for (const auto& [id, rack] : racks)
+    order.push_back(rack);
+  std::ranges::stable_sort(order, std::greater(), &Rack::free);
+  const double wanted = share * static_cast<double>(total);
+  std::set<RackId> chosen;
+  int64_t sum = 0;
+  for (const Rack& it : order) {
+    if (static_cast<double>(sum) >= wanted)
+      break;
+    sum += it.capacity;
+    chosen.insert(it.id);
+  }
+  return chosen;
+}
+
 bool FitsSomeRack(const std::vector<Candidate>& candidates,
                   const Demand& demand) {
   std::map<RackId, int> totals;
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -35,6 +35,7 @@
   // Workers that run tasks of the step already count towards the limit.
   std::vector<WorkerId> present;
   std::set<WorkerId> avoid;
+  std::set<RackId> avoid_racks;
 };
 
 Demand MakeDemand(const StepSpec& step, int tasks);
@@ -58,6 +59,12 @@
 Placement PlaceTasks(const std::vector<Candidate>& candidates,
                      const Demand& demand);
 
+// The emptiest racks, with about `share` of all accelerators, at least one rack
+// if `share` is above 0. Keeping work that can wait out of them lets urgent
+// gangs start at once, whole and within a rack.
+std::set<RackId> ChooseHeadroom(const std::vector<Candidate>& candidates,
+                                double share);
+
 // Whether some rack could hold the whole demand if it were empty.
 bool FitsSomeRack(const std::vector<Candidate>& candidates,
                   const Demand& demand);
