Read the table when its feed is silent, wait only part of the slack

Ruled out: slow acceptance (rows were written within 15 ms). Change: a feed that is silent beyond the store's usual answer time is replaced by a read; other work waits for room elsewhere during 0.35 of the time until its objective; 28% of the accelerators are kept.

--- a/core/platform/versioned_store.h
+++ b/core/platform/versioned_store.h
@@ -90,9 +90,11 @@
                     Duration timeout,
                     ReadCallback done) = 0;
   // Waits up to `wait` for rows of `table` that changed after `after`.
+  // `timeout` includes the wait.
   virtual void Feed(const std::string& table,
                     RowVersion after,
                     Duration wait,
+                    Duration timeout,
                     ReadCallback done) = 0;
 };
 
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -10,6 +10,10 @@
 
 namespace {
 
+// Urgent jobs are late after a few hundred milliseconds, so a silent feed of
+// jobs has to be noticed before.
+constexpr Duration kJobPoll{200};
+constexpr Duration kCancelPoll{500};
 // Starts rely on the list of workers and on the evacuated failure domains;
 // older views may miss a worker or a domain that is leaving.
 constexpr Duration kViewTrust{1'800};
@@ -65,13 +69,15 @@
       [](const std::vector<StoreRow>&) {}, seed + 1);
   job_rows_ = std::make_unique<TableFollower>(
       store_, clock_,
-      TableFollowerOptions{.table = kJobTable, .partition = kJobPartition},
+      TableFollowerOptions{
+          .table = kJobTable, .partition = kJobPartition, .poll = kJobPoll},
       [this](const std::vector<StoreRow>& rows) { OnJobs(rows); },
       [this](const std::vector<StoreRow>& rows) { OnJobs(rows); }, seed + 2);
   cancel_rows_ = std::make_unique<TableFollower>(
       store_, clock_,
       TableFollowerOptions{.table = kCancelTable,
-                           .partition = kCancelPartition},
+                           .partition = kCancelPartition,
+                           .poll = kCancelPoll},
       [this](const std::vector<StoreRow>& rows) { OnCancels(rows); },
       [this](const std::vector<StoreRow>& rows) { OnCancels(rows); }, seed + 3);
 }
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -25,11 +25,10 @@
 constexpr Duration kReclaimRetry{60};
 // Share of a service's accelerators that is kept for urgent gangs while other
 // work can still wait.
-constexpr double kHeadroomShare = 0.18;
-// Work that can wait is due to start when this multiple of its estimated run
-// time is left before its objective.
-constexpr double kEstimateMargin = 1.3;
-constexpr Duration kWaitMargin{1'000};
+constexpr double kHeadroomShare = 0.28;
+// Work of other queues waits for room elsewhere during this share of the time
+// until its objective; the rest is for its run and for what goes wrong.
+constexpr double kWaitShare = 0.35;
 // Occurrences start this long after their time, since the clocks of VMs differ
 // a little.
 constexpr int64_t kDueMarginMs = 30;
@@ -246,10 +245,11 @@
 bool Dispatcher::CanWait(const Unit& unit, TimePoint now) const {
   if (unit.job->record().priority == 0)
     return false;
-  const Duration run_time(static_cast<int64_t>(
-      kEstimateMargin *
-      static_cast<double>(unit.job->ChainEstimate().count())));
-  return now + run_time + kWaitMargin < unit.objective;
+  const TimePoint accepted = unit.job->accepted_at();
+  const Duration whole = unit.objective - accepted;
+  const Duration allowed(
+      static_cast<int64_t>(kWaitShare * static_cast<double>(whole.count())));
+  return now < accepted + allowed;
 }
 
 void Dispatcher::StartUnit(Unit& unit, PassState& pass) {
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -10,6 +10,13 @@
 namespace {
 
 constexpr Duration kReadTimeout{1'000};
+// Bounds of the time allowed for an answer beyond the wait of a feed call: a
+// few times the answer time of a sound and of an overloaded store.
+constexpr Duration kMinFeedSlack{120};
+constexpr Duration kMaxFeedSlack{700};
+constexpr int kSlackPerAnswerTime = 3;
+// Weight of the newest answer time in their mean, as a divisor.
+constexpr int kAnswerTimeWeight = 4;
 // Retries stay well below the time in which a configuration must be in force.
 constexpr BackoffOptions kRetry{Duration(50), Duration(400)};
 // First key after `key` in byte order.
@@ -45,7 +52,10 @@
   void Feed(TimePoint now) {
     busy = true;
     call_sent = now;
-    store.Feed(options.table, version, options.poll, Guarded(&State::OnFeed));
+    const Duration slack = std::clamp(answer_time * kSlackPerAnswerTime,
+                                      kMinFeedSlack, kMaxFeedSlack);
+    store.Feed(options.table, version, options.poll, options.poll + slack,
+               Guarded(&State::OnFeed));
   }
 
   // The next call of a spaced feed is left to Tick().
@@ -71,6 +81,7 @@
       Fail(result.status());
       return;
     }
+    ObserveAnswerTime(clock.Now() - call_sent);
     if (pages.empty()) {
       version = result->version;
       read_started = call_sent;
@@ -92,11 +103,17 @@
   void OnFeed(const absl::StatusOr<StoreSnapshot>& result) {
     busy = false;
     if (!result.ok()) {
-      if (absl::IsOutOfRange(result.status()))
+      const bool silent = absl::IsDeadlineExceeded(result.status());
+      if (silent || absl::IsOutOfRange(result.status()))
         following = false;
-      Fail(result.status());
+      if (silent)
+        Read(clock.Now());
+      else
+        Fail(result.status());
       return;
     }
+    if (result->rows.empty())
+      ObserveAnswerTime(clock.Now() - call_sent - options.poll);
     version = std::max(version, result->version);
     Succeed(call_sent);
     Continue(clock.Now());
@@ -104,6 +121,10 @@
       on_change(result->rows);
   }
 
+  void ObserveAnswerTime(Duration elapsed) {
+    answer_time += (elapsed - answer_time) / kAnswerTimeWeight;
+  }
+
   void Succeed(TimePoint sent) {
     confirmed_at = sent;
     retry.Reset();
@@ -133,6 +154,7 @@
   Backoff retry;
   std::vector<StoreRow> pages;
   RowVersion version;
+  Duration answer_time{0};  // Mean, without the wait of feeds.
   TimePoint call_sent;
   TimePoint read_started;
   TimePoint confirmed_at;
--- a/servers/batch/table_follower.h
+++ b/servers/batch/table_follower.h
@@ -18,7 +18,8 @@
 struct TableFollowerOptions {
   std::string table;
   std::string partition;
-  // Longest wait of a feed call; bounds how late a silent connection is found.
+  // Longest wait of a feed call. A feed that is silent for longer than this and
+  // the store's usual answer time is not trusted: the table is read instead.
   Duration poll{800};
   // Least time between two feed calls, so that the changes of a busy table
   // come together.
