Test the leader's work against an in-memory store and workers

Change: stand-ins of the store and of workers in virtual time, a world of nodes, tests of take-over, lapses, lost answers, silent feeds, drains and guarantees, and random series of faults; a take-over now counts silence up to the last answer of the store, and the control feed waits 400 ms. Ruled out: sleeping tests. Conclusion: further findings get their cases here.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -94,7 +94,9 @@
       control_(
           store_,
           clock_,
-          {.table = batch::kControlTable, .partition = batch::kLeaderPartition},
+          {.table = batch::kControlTable,
+           .partition = batch::kLeaderPartition,
+           .poll = batch::kControlPoll},
           [this](const std::vector<StoreRow>& rows) {
             lease_.OnRows(rows, clock_.Now());
           },
@@ -180,7 +182,7 @@
   const TimePoint now = clock_.Now();
   operator_watch_.Tick(now);
   control_.Tick(now);
-  lease_.Tick(now, control_.steady_since(), control_.confirmed_at());
+  lease_.Tick(now, control_.steady_since(), control_.answered_at());
   load_.Update(lease_.report());
   TickLeadership(now);
   if (stopped_)
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -75,8 +75,8 @@
 
 void LeaderLease::Tick(TimePoint now,
                        TimePoint steady_since,
-                       TimePoint confirmed_at) {
-  const bool rows_known = confirmed_at != TimePoint();
+                       TimePoint answered_at) {
+  const bool rows_known = answered_at != TimePoint();
   if (busy_ || now < next_try_ || !rows_known)
     return;
   if (leading_) {
@@ -101,7 +101,7 @@
     return;
   }
   const TimePoint silent_since = std::max(heartbeat_at_, steady_since);
-  if (confirmed_at >= silent_since + options_.takeover + delay)
+  if (answered_at >= silent_since + options_.takeover + delay)
     Acquire(now);
 }
 
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -19,6 +19,9 @@
 // Partition of all rows that only the leader writes.
 inline constexpr char kLeaderPartition[] = "leader";
 inline constexpr char kControlTable[] = "control";
+// Wait of the feed of the control table; bounds how late the silence of a
+// leader is noticed.
+inline constexpr Duration kControlPoll{400};
 
 struct LeaderLeaseOptions {
   NodeId node;
@@ -58,9 +61,9 @@
 
   // Rows of the control table, as read or changed.
   void OnRows(const std::vector<StoreRow>& rows, TimePoint now);
-  // `steady_since` and `confirmed_at` are those of the follower of the control
+  // `steady_since` and `answered_at` are those of the follower of the control
   // table: silence counts only while the store answers this node.
-  void Tick(TimePoint now, TimePoint steady_since, TimePoint confirmed_at);
+  void Tick(TimePoint now, TimePoint steady_since, TimePoint answered_at);
   // Gives leadership up, so that another node takes over at once.
   void Release(TimePoint now);
   // Another epoch has been seen; the caller has stopped to act.
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -127,6 +127,7 @@
 
   void Succeed(TimePoint sent) {
     confirmed_at = sent;
+    answered_at = clock.Now();
     retry.Reset();
     if (failing) {
       failing = false;
@@ -158,6 +159,7 @@
   TimePoint call_sent;
   TimePoint read_started;
   TimePoint confirmed_at;
+  TimePoint answered_at;
   TimePoint steady_since;
   TimePoint retry_at;
   bool busy = false;
@@ -201,6 +203,10 @@
   return state_->confirmed_at;
 }
 
+TimePoint TableFollower::answered_at() const {
+  return state_->answered_at;
+}
+
 TimePoint TableFollower::steady_since() const {
   return state_->steady_since;
 }
--- a/servers/batch/table_follower.h
+++ b/servers/batch/table_follower.h
@@ -49,6 +49,8 @@
   bool ready() const;
   // The rows handed over were current at this time or later.
   TimePoint confirmed_at() const;
+  // When the last answer came.
+  TimePoint answered_at() const;
   // Start of the present series of answered calls; a failed call ends it.
   TimePoint steady_since() const;
 
--- /dev/null
+++ b/standins/fleet/model_workers.cc
@@ -0,0 +1,270 @@
+#include "standins/fleet/model_workers.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace quetzalshelf {
+
+namespace {
+
+using batch::EndReason;
+using batch::OrderReply;
+using batch::OrderResult;
+
+constexpr Duration kStopTime{300};
+constexpr Duration kFailTime{200};
+constexpr Duration kLongestLease{6'000};
+
+}  // namespace
+
+ModelWorkers::ModelWorkers(TaskRunner& runner,
+                           const Clock& clock,
+                           Duration answer_time,
+                           RunTime run_time)
+    : runner_(runner),
+      clock_(clock),
+      answer_time_(answer_time),
+      run_time_(std::move(run_time)) {}
+
+void ModelWorkers::Add(const batch::WorkerEntry& entry) {
+  workers_[entry.id].entry = entry;
+}
+
+int64_t ModelWorkers::ClockOf() const {
+  return ToMillis(clock_.Now());
+}
+
+void ModelWorkers::Deliver(const WorkerId& id,
+                           Duration timeout,
+                           std::function<void()> carry_out,
+                           std::function<void(absl::Status)> give_up) {
+  ModelWorkerFaults& faults = workers_[id].faults;
+  const auto no_answer = [give_up] {
+    give_up(absl::DeadlineExceededError("no answer"));
+  };
+  if (faults.silent) {
+    runner_.PostAfter(timeout, no_answer);
+    return;
+  }
+  if (faults.late_orders > 0) {
+    --faults.late_orders;
+    runner_.PostAfter(timeout, no_answer);
+    runner_.PostAfter(faults.lateness, std::move(carry_out));
+    return;
+  }
+  runner_.PostAfter(answer_time_, std::move(carry_out));
+}
+
+void ModelWorkers::Start(const batch::WorkerEntry& worker,
+                         const batch::StartOrder& order,
+                         Duration timeout,
+                         OrderCallback done) {
+  const bool late = workers_[worker.id].faults.late_orders > 0;
+  Deliver(
+      worker.id, timeout,
+      [this, id = worker.id, order, late, done] {
+        const OrderReply reply = CarryOutStart(workers_[id], order);
+        if (!late)
+          done(reply);
+      },
+      done);
+}
+
+void ModelWorkers::Stop(const batch::WorkerEntry& worker,
+                        const batch::StopOrder& order,
+                        Duration timeout,
+                        OrderCallback done) {
+  const bool late = workers_[worker.id].faults.late_orders > 0;
+  Deliver(
+      worker.id, timeout,
+      [this, id = worker.id, order, late, done] {
+        const OrderReply reply = CarryOutStop(workers_[id], order);
+        if (!late)
+          done(reply);
+      },
+      done);
+}
+
+void ModelWorkers::Sync(const batch::WorkerEntry& worker,
+                        const batch::SyncRequest& request,
+                        Duration timeout,
+                        SyncCallback done) {
+  ModelWorker& model = workers_[worker.id];
+  if (model.faults.silent) {
+    runner_.PostAfter(timeout, [done] {
+      done(absl::DeadlineExceededError("no answer"));
+    });
+    return;
+  }
+  runner_.PostAfter(answer_time_, [this, id = worker.id, request, done] {
+    ModelWorker& here = workers_[id];
+    if (request.epoch < here.fence) {
+      done(batch::SyncReply{.result = OrderResult::kFenced,
+                            .clock_ms = ClockOf()});
+      return;
+    }
+    here.fence = request.epoch;
+    if (request.lease_until_ms)
+      ExtendLease(here, *request.lease_until_ms);
+    for (const batch::ListedEnd& it : here.ends) {
+      if (it.number <= request.noted_ends && it.reason == EndReason::kDone)
+        noted_done_.insert(it.task);
+    }
+    std::erase_if(here.ends, [&](const batch::ListedEnd& it) {
+      return it.number <= request.noted_ends;
+    });
+    if (request.wait.count() == 0 || !here.ends.empty()) {
+      done(Snapshot(here));
+      return;
+    }
+    auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, id, done, answered] {
+      if (!std::exchange(*answered, true))
+        done(Snapshot(workers_[id]));
+    };
+    here.waiting.push_back(answer);
+    runner_.PostAfter(request.wait, answer);
+  });
+}
+
+batch::SyncReply ModelWorkers::Snapshot(const ModelWorker& worker) const {
+  batch::SyncReply reply;
+  reply.clock_ms = ClockOf();
+  reply.born_wall_ms = worker.entry.born_wall_ms;
+  for (const auto& [task, run] : worker.runs)
+    reply.runs.push_back({task, run.attempt, "", 1});
+  reply.ends = worker.ends;
+  return reply;
+}
+
+void ModelWorkers::CheckStart(const WorkerId& id,
+                              const batch::StartOrder& order) {
+  const std::string name = ToString(order.task);
+  for (const auto& [other, worker] : workers_) {
+    if (worker.runs.contains(order.task))
+      violations_.push_back(name + " runs twice: " + other.value() + " and " +
+                            id.value());
+  }
+  if (noted_done_.contains(order.task))
+    violations_.push_back(name + " starts after its noted end");
+}
+
+OrderReply ModelWorkers::CarryOutStart(ModelWorker& worker,
+                                       const batch::StartOrder& order) {
+  OrderReply reply{.clock_ms = ClockOf()};
+  const auto refuse = [&](OrderResult result) {
+    reply.result = result;
+    return reply;
+  };
+  if (order.epoch < worker.fence)
+    return refuse(OrderResult::kFenced);
+  worker.fence = order.epoch;
+  if (const auto it = worker.runs.find(order.task);
+      it != worker.runs.end() && it->second.attempt == order.attempt)
+    return reply;
+  if (order.lease_until_ms <= ClockOf())
+    return refuse(OrderResult::kLeaseInPast);
+  if (const auto it = worker.tombstones.find(order.task);
+      it != worker.tombstones.end() && order.attempt <= it->second)
+    return refuse(OrderResult::kSuperseded);
+  CheckStart(worker.entry.id, order);
+  ExtendLease(worker, order.lease_until_ms);
+  const uint64_t serial = ++serial_;
+  worker.runs[order.task] = {order.attempt, serial};
+  ++starts_[order.task];
+  ++total_starts_;
+  first_start_.try_emplace(order.task, clock_.Now());
+  const bool fails = worker.faults.fails_tasks;
+  const Duration duration = fails ? kFailTime : run_time_(order.task);
+  runner_.PostAfter(duration, [this, id = worker.entry.id, task = order.task,
+                               serial, fails] {
+    ModelWorker& here = workers_[id];
+    const auto it = here.runs.find(task);
+    if (it != here.runs.end() && it->second.serial == serial)
+      End(here, task, fails ? EndReason::kFailed : EndReason::kDone);
+  });
+  return reply;
+}
+
+OrderReply ModelWorkers::CarryOutStop(ModelWorker& worker,
+                                      const batch::StopOrder& order) {
+  OrderReply reply{.clock_ms = ClockOf()};
+  if (order.epoch < worker.fence) {
+    reply.result = OrderResult::kFenced;
+    return reply;
+  }
+  worker.fence = order.epoch;
+  Attempt& tombstone = worker.tombstones[order.task];
+  tombstone = std::max(tombstone, order.attempt);
+  const auto it = worker.runs.find(order.task);
+  if (it == worker.runs.end() || it->second.attempt > order.attempt)
+    return reply;
+  runner_.PostAfter(kStopTime, [this, id = worker.entry.id, task = order.task,
+                                serial = it->second.serial] {
+    ModelWorker& here = workers_[id];
+    const auto run = here.runs.find(task);
+    if (run != here.runs.end() && run->second.serial == serial)
+      End(here, task, EndReason::kStopped);
+  });
+  return reply;
+}
+
+void ModelWorkers::ExtendLease(ModelWorker& worker, int64_t until_ms) {
+  const TimePoint until =
+      std::min(FromMillis(until_ms), clock_.Now() + kLongestLease);
+  worker.lease_until = std::max(worker.lease_until, until);
+  const uint64_t serial = ++worker.lease_serial;
+  runner_.PostAfter(worker.lease_until - clock_.Now(),
+                    [this, id = worker.entry.id, serial] {
+                      ModelWorker& here = workers_[id];
+                      if (here.lease_serial != serial)
+                        return;
+                      while (!here.runs.empty())
+                        End(here, here.runs.begin()->first,
+                            EndReason::kLapsed);
+                    });
+}
+
+void ModelWorkers::End(ModelWorker& worker,
+                       const batch::TaskId& task,
+                       EndReason reason) {
+  const Attempt attempt = worker.runs.at(task).attempt;
+  worker.runs.erase(task);
+  Attempt& tombstone = worker.tombstones[task];
+  tombstone = std::max(tombstone, attempt);
+  worker.ends.push_back({++worker.last_end, task, attempt, reason, ""});
+  for (const auto& it : std::exchange(worker.waiting, {}))
+    runner_.Post(it);
+}
+
+int ModelWorkers::starts(const batch::TaskId& task) const {
+  const auto it = starts_.find(task);
+  return it == starts_.end() ? 0 : it->second;
+}
+
+TimePoint ModelWorkers::first_start(const batch::TaskId& task) const {
+  const auto it = first_start_.find(task);
+  return it == first_start_.end() ? TimePoint() : it->second;
+}
+
+int ModelWorkers::running() const {
+  int count = 0;
+  for (const auto& [id, worker] : workers_)
+    count += static_cast<int>(worker.runs.size());
+  return count;
+}
+
+bool ModelWorkers::IsRunning(const batch::TaskId& task) const {
+  return !HolderOf(task).empty();
+}
+
+WorkerId ModelWorkers::HolderOf(const batch::TaskId& task) const {
+  for (const auto& [id, worker] : workers_) {
+    if (worker.runs.contains(task))
+      return id;
+  }
+  return WorkerId();
+}
+
+}  // namespace quetzalshelf
--- /dev/null
+++ b/standins/fleet/model_workers.h
@@ -0,0 +1,113 @@
+// Workers that run tasks under leases and fences, in memory and virtual time.
+// Notes each broken promise that a worker can see.
+
+#ifndef STANDINS_FLEET_MODEL_WORKERS_H_
+#define STANDINS_FLEET_MODEL_WORKERS_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "drivers/clock/task_runner.h"
+#include "servers/batch/worker_port.h"
+
+namespace quetzalshelf {
+
+struct ModelWorkerFaults {
+  bool silent = false;       // Orders are lost and have no answer.
+  bool fails_tasks = false;  // All that it starts fails soon.
+  int late_orders = 0;       // So many orders are carried out late, unanswered.
+  Duration lateness{3'000};
+};
+
+class ModelWorkers : public batch::WorkerPort {
+ public:
+  using RunTime = std::function<Duration(const batch::TaskId&)>;
+
+  ModelWorkers(TaskRunner& runner,
+               const Clock& clock,
+               Duration answer_time,
+               RunTime run_time);
+
+  void Add(const batch::WorkerEntry& entry);
+  ModelWorkerFaults& faults(const WorkerId& id) { return workers_[id].faults; }
+
+  void Start(const batch::WorkerEntry& worker,
+             const batch::StartOrder& order,
+             Duration timeout,
+             OrderCallback done) override;
+  void Stop(const batch::WorkerEntry& worker,
+            const batch::StopOrder& order,
+            Duration timeout,
+            OrderCallback done) override;
+  void Sync(const batch::WorkerEntry& worker,
+            const batch::SyncRequest& request,
+            Duration timeout,
+            SyncCallback done) override;
+
+  // Starts of a task so far, on any worker.
+  int starts(const batch::TaskId& task) const;
+  int total_starts() const { return total_starts_; }
+  // When the task's first run started.
+  TimePoint first_start(const batch::TaskId& task) const;
+  int running() const;
+  bool IsRunning(const batch::TaskId& task) const;
+  // The worker that runs the task; empty if none.
+  WorkerId HolderOf(const batch::TaskId& task) const;
+  // One line for each broken promise: a task that runs twice at once, or a start
+  // after a done end was noted.
+  const std::vector<std::string>& violations() const { return violations_; }
+
+ private:
+  struct ModelRun {
+    Attempt attempt;
+    uint64_t serial = 0;
+  };
+  struct ModelWorker {
+    batch::WorkerEntry entry;
+    ModelWorkerFaults faults;
+    Epoch fence;
+    TimePoint lease_until;
+    std::map<batch::TaskId, ModelRun> runs;
+    std::map<batch::TaskId, Attempt> tombstones;
+    std::vector<batch::ListedEnd> ends;
+    int64_t last_end = 0;
+    uint64_t lease_serial = 0;
+    std::vector<std::function<void()>> waiting;
+  };
+
+  int64_t ClockOf() const;
+  void Deliver(const WorkerId& id,
+               Duration timeout,
+               std::function<void()> carry_out,
+               std::function<void(absl::Status)> give_up);
+  batch::OrderReply CarryOutStart(ModelWorker& worker,
+                                  const batch::StartOrder& order);
+  batch::OrderReply CarryOutStop(ModelWorker& worker,
+                                 const batch::StopOrder& order);
+  batch::SyncReply Snapshot(const ModelWorker& worker) const;
+  void ExtendLease(ModelWorker& worker, int64_t until_ms);
+  void End(ModelWorker& worker,
+           const batch::TaskId& task,
+           batch::EndReason reason);
+  void CheckStart(const WorkerId& id, const batch::StartOrder& order);
+
+  TaskRunner& runner_;
+  const Clock& clock_;
+  Duration answer_time_;
+  RunTime run_time_;
+  std::map<WorkerId, ModelWorker> workers_;
+  std::map<batch::TaskId, int> starts_;
+  std::map<batch::TaskId, TimePoint> first_start_;
+  std::set<batch::TaskId> noted_done_;
+  std::vector<std::string> violations_;
+  uint64_t serial_ = 0;
+  int total_starts_ = 0;
+};
+
+}  // namespace quetzalshelf
+
+#endif  // STANDINS_FLEET_MODEL_WORKERS_H_
--- /dev/null
+++ b/tests/batch/batch_world.cc
@@ -0,0 +1,203 @@
+#include "tests/batch/batch_world.h"
+
+#include <utility>
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+constexpr Duration kAnswerTime{2};
+constexpr Duration kStep{10};
+constexpr Duration kPatience{3'000};
+
+}  // namespace
+
+WorkerEntry MakeWorker(const std::string& id, const std::string& rack) {
+  WorkerEntry worker;
+  worker.id = WorkerId(id);
+  worker.service = ServiceName("desk");
+  worker.host = "10.0.0.1";
+  worker.port = 80;
+  worker.domain = DomainId("cartago");
+  worker.rack = RackId(rack);
+  worker.labels = {"a", rack};
+  worker.capacity = {Accelerators(8), MilliCores(64'000), Mebibytes(131'072)};
+  worker.born_wall_ms = 1;
+  return worker;
+}
+
+JobSpec MakeJob(int tasks, int accelerators, bool gang) {
+  StepSpec step;
+  step.tasks = tasks;
+  step.resources = {Accelerators(accelerators), MilliCores(7'500),
+                    Mebibytes(11'000)};
+  step.estimate = Duration(2'500);
+  step.gang = gang;
+  JobSpec spec;
+  spec.payload = "payload";
+  spec.steps = {step};
+  return spec;
+}
+
+SiteConfig MakeSite() {
+  SiteConfig config;
+  config.version = 1;
+  const auto queue = [](const char* name, int priority, double slack) {
+    QueueConfig it;
+    it.name = QueueName(name);
+    it.host = "desk.example";
+    it.prefix = std::string("/") + name + "/";
+    it.service = ServiceName("desk");
+    it.priority = priority;
+    it.attempts = 3;
+    it.slack_factor = slack;
+    it.target_latency = Duration(250);
+    return it;
+  };
+  config.queues = {queue("holds", 0, 1.5), queue("plans", 1, 3.0),
+                   queue("sketches", 2, 3.0)};
+  config.workspaces = {{WorkspaceId("plaza"), {"key-plaza"}, Accelerators(16)},
+                       {WorkspaceId("parque"), {"key-parque"}, {}}};
+  return config;
+}
+
+BatchWorld::BatchWorld(int racks, int workers_a_rack)
+    : store(runner, kAnswerTime),
+      workers(runner,
+              runner,
+              kAnswerTime,
+              [this](const TaskId&) { return run_time; }),
+      desk(store, runner, site, load, {}) {
+  for (int rack = 0; rack < racks; ++rack) {
+    for (int n = 0; n < workers_a_rack; ++n) {
+      const std::string rack_name = "r1-" + std::to_string(rack);
+      listed.push_back(
+          MakeWorker("w" + std::to_string(rack) + std::to_string(n),
+                     rack_name));
+      workers.Add(listed.back());
+    }
+  }
+  site.SetConfig(MakeSite());
+  site.Confirm(runner.Now());
+}
+
+void BatchWorld::AddNode(const std::string& name) {
+  LeaderLeaseOptions options;
+  options.node = NodeId(name);
+  options.incarnation = IncarnationId(name + "-" + std::to_string(++seed_));
+  Node node;
+  node.lease = std::make_unique<LeaderLease>(store, runner, options, seed_);
+  LeaderLease* const lease = node.lease.get();
+  const auto on_rows = [this, lease](const std::vector<StoreRow>& rows) {
+    lease->OnRows(rows, runner.Now());
+  };
+  node.control = std::make_unique<TableFollower>(
+      store, runner,
+      TableFollowerOptions{.table = kControlTable,
+                           .partition = kLeaderPartition,
+                           .poll = kControlPoll},
+      on_rows, on_rows, seed_);
+  nodes.push_back(std::move(node));
+}
+
+void BatchWorld::Kill(size_t node) {
+  nodes[node] = Node();
+}
+
+int BatchWorld::Leader() const {
+  for (size_t n = 0; n < nodes.size(); ++n) {
+    if (nodes[n].lease && nodes[n].lease->is_leader())
+      return static_cast<int>(n);
+  }
+  return -1;
+}
+
+void BatchWorld::TickNode(Node& node) {
+  const TimePoint now = runner.Now();
+  node.control->Tick(now);
+  node.lease->Tick(now, node.control->steady_since(),
+                   node.control->answered_at());
+  const bool stale = node.dispatcher && (!node.lease->is_leader() ||
+                                         node.lease->proof().epoch !=
+                                             node.epoch);
+  if (node.deposed) {
+    node.lease->StepDown("deposed");
+    node.deposed = false;
+    node.dispatcher.reset();
+  } else if (stale) {
+    node.dispatcher.reset();
+  }
+  if (node.lease->is_leader() && !node.dispatcher) {
+    node.epoch = node.lease->proof().epoch;
+    node.dispatcher = std::make_unique<Dispatcher>(
+        store, workers, runner, site, metrics, node.lease->proof(),
+        [&node](const std::string&) { node.deposed = true; }, ++seed_);
+  }
+  if (!node.dispatcher)
+    return;
+  node.dispatcher->OnWorkers(listed, now);
+  node.dispatcher->ConfirmWorkers(now);
+  node.dispatcher->Tick(now);
+}
+
+void BatchWorld::Run(Duration duration) {
+  for (Duration passed{0}; passed < duration; passed += kStep) {
+    if (!store.faults().refuse)
+      site.Confirm(runner.Now());
+    for (Node& it : nodes) {
+      if (it.lease)
+        TickNode(it);
+    }
+    runner.Advance(kStep);
+  }
+}
+
+CallerContext BatchWorld::Caller(const std::string& path) const {
+  return {"desk.example", path, "key-plaza", runner.Now() + kPatience};
+}
+
+CallAnswer BatchWorld::Submit(const std::string& id,
+                              JobSpec spec,
+                              const std::string& queue) {
+  std::optional<CallAnswer> answer;
+  desk.Submit(Caller(queue + id), std::move(spec),
+              [&](CallAnswer it) { answer = std::move(it); });
+  while (!answer)
+    Run(kStep);
+  return *answer;
+}
+
+CallAnswer BatchWorld::Cancel(const std::string& id) {
+  std::optional<CallAnswer> answer;
+  desk.Cancel(Caller("/plans/" + id),
+              [&](CallAnswer it) { answer = std::move(it); });
+  while (!answer)
+    Run(kStep);
+  return *answer;
+}
+
+CallAnswer BatchWorld::State(const std::string& id) {
+  std::optional<CallAnswer> answer;
+  desk.State(Caller("/plans/" + id),
+             [&](CallAnswer it) { answer = std::move(it); });
+  while (!answer)
+    Run(kStep);
+  return *answer;
+}
+
+JobPhase BatchWorld::RunUntilFinal(const std::string& id, Duration limit) {
+  const TimePoint end = runner.Now() + limit;
+  JobPhase phase = JobPhase::kQueued;
+  while (runner.Now() < end) {
+    Run(Duration(100));
+    const CallAnswer answer = State(id);
+    if (answer.outcome != CallOutcome::kFound)
+      continue;
+    phase = answer.phase;
+    if (phase != JobPhase::kQueued && phase != JobPhase::kRunning)
+      return phase;
+  }
+  return phase;
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/tests/batch/batch_world.h
@@ -0,0 +1,76 @@
+// Entry nodes, a store and workers in virtual time.
+
+#ifndef TESTS_BATCH_BATCH_WORLD_H_
+#define TESTS_BATCH_BATCH_WORLD_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "drivers/clock/manual_task_runner.h"
+#include "servers/batch/dispatcher.h"
+#include "servers/batch/job_desk.h"
+#include "servers/batch/leader_lease.h"
+#include "standins/fleet/memory_versioned_store.h"
+#include "standins/fleet/model_workers.h"
+
+namespace quetzalshelf::batch {
+
+// A 64-core worker with 8 accelerators.
+WorkerEntry MakeWorker(const std::string& id, const std::string& rack);
+// A gang or independent tasks of one step.
+JobSpec MakeJob(int tasks, int accelerators, bool gang);
+SiteConfig MakeSite();
+
+class BatchWorld {
+ public:
+  explicit BatchWorld(int racks = 2, int workers_a_rack = 2);
+
+  struct Node {
+    std::unique_ptr<LeaderLease> lease;
+    std::unique_ptr<TableFollower> control;
+    std::unique_ptr<Dispatcher> dispatcher;
+    Epoch epoch;
+    bool deposed = false;
+  };
+
+  void AddNode(const std::string& name);
+  // Ends the process of a node at once.
+  void Kill(size_t node);
+  // The index of the node that leads; -1 if none.
+  int Leader() const;
+
+  // Lets time pass in steps of 10 ms, at which the nodes' timers fire.
+  void Run(Duration duration);
+  // Runs until the job is final or `limit` has passed; returns its phase.
+  JobPhase RunUntilFinal(const std::string& id, Duration limit);
+
+  CallAnswer Submit(const std::string& id,
+                    JobSpec spec,
+                    const std::string& queue = "/plans/");
+  CallAnswer Cancel(const std::string& id);
+  CallAnswer State(const std::string& id);
+
+  // The list of workers as the platform gives it to the leader.
+  std::vector<WorkerEntry> listed;
+  ManualTaskRunner runner;
+  MemoryVersionedStore store;
+  ModelWorkers workers;
+  SiteView site;
+  LoadView load;
+  MetricsRegistry metrics;
+  JobDesk desk;
+  std::vector<Node> nodes;
+  Duration run_time{2'500};
+
+ private:
+  void TickNode(Node& node);
+  CallerContext Caller(const std::string& path) const;
+
+  uint64_t seed_ = 1;
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // TESTS_BATCH_BATCH_WORLD_H_
--- /dev/null
+++ b/tests/batch/dispatcher_test.cc
@@ -0,0 +1,322 @@
+// The leader's work under the failures that were found on the users' bench.
+
+#include <doctest/doctest.h>
+
+#include "tests/batch/batch_world.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000a1";
+constexpr char kOtherJob[] = "00000000000000a2";
+constexpr Duration kLong{30'000};
+
+TaskId Task(const std::string& job, int index) {
+  return {JobId(job), 0, 0, index};
+}
+
+// A world with one leader that has greeted all workers.
+struct LedWorld : BatchWorld {
+  explicit LedWorld(int racks = 2, int workers_a_rack = 2)
+      : BatchWorld(racks, workers_a_rack) {
+    AddNode("n1");
+    Run(Duration(1'500));
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A gang starts at once and is shown complete") {
+  LedWorld world;
+  REQUIRE(world.Submit(kJob, MakeJob(2, 8, true)).outcome ==
+          CallOutcome::kAccepted);
+  world.Run(Duration(150));
+  CHECK(world.workers.running() == 2);
+  CHECK(world.State(kJob).phase == JobPhase::kRunning);
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  CHECK(world.workers.total_starts() == 2);
+  CHECK(world.workers.violations().empty());
+}
+
+// Guards against taking a run for lapsed before its first order was sent,
+// because the lease of an earlier run on the same worker had ended.
+TEST_CASE("A job starts once on workers that were idle for long") {
+  LedWorld world;
+  world.Submit(kJob, MakeJob(4, 8, true));
+  REQUIRE(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  world.Run(kLong);
+  world.Submit(kOtherJob, MakeJob(4, 8, true));
+  REQUIRE(world.RunUntilFinal(kOtherJob, kLong) == JobPhase::kComplete);
+  CHECK(world.workers.total_starts() == 8);
+}
+
+// Guards against a new leader that syncs workers before it knows the jobs, and
+// so takes their runs for strays and their ends for those of no job.
+TEST_CASE("Runs and ends outlive a change of the leader") {
+  LedWorld world;
+  world.AddNode("n2");
+  world.Run(Duration(100));
+  world.Submit(kJob, MakeJob(2, 8, true));
+  world.Run(Duration(200));
+  REQUIRE(world.workers.running() == 2);
+
+  SUBCASE("while it runs") {
+    world.run_time = Duration(8'000);
+    world.Submit(kOtherJob, MakeJob(2, 8, true));
+    world.Run(Duration(300));
+  }
+  SUBCASE("with an end that nobody noted") {
+    world.Run(Duration(2'200));
+  }
+  world.Kill(static_cast<size_t>(world.Leader()));
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  world.Run(Duration(9'000));
+  CHECK(world.workers.starts(Task(kJob, 0)) == 1);
+  CHECK(world.workers.starts(Task(kJob, 1)) == 1);
+  CHECK(world.workers.violations().empty());
+}
+
+TEST_CASE("A new leader takes over within three seconds") {
+  LedWorld world;
+  world.AddNode("n2");
+  world.Run(Duration(1'000));
+  world.Kill(0);
+  world.Run(Duration(3'000));
+  CHECK(world.Leader() == 1);
+}
+
+TEST_CASE("A leader that gives up is followed at once") {
+  LedWorld world;
+  world.AddNode("n2");
+  world.Run(Duration(1'000));
+  world.nodes[0].dispatcher->Retire();
+  world.nodes[0].lease->Release(world.runner.Now());
+  world.Run(Duration(300));
+  CHECK(world.nodes[1].lease->is_leader());
+}
+
+// Guards against granting further leases to a worker that does not answer:
+// each might be carried out late, so its runs were never taken for lapsed.
+TEST_CASE("Tasks of a silent worker are started elsewhere") {
+  LedWorld world;
+  world.run_time = Duration(8'000);
+  world.Submit(kJob, MakeJob(1, 8, false));
+  world.Run(Duration(300));
+  REQUIRE(world.workers.running() == 1);
+  const WorkerId holder = world.workers.HolderOf(Task(kJob, 0));
+  world.workers.faults(holder).silent = true;
+  world.Run(Duration(7'500));
+  CHECK(world.workers.IsRunning(Task(kJob, 0)));
+  CHECK(world.workers.HolderOf(Task(kJob, 0)) != holder);
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  CHECK(world.workers.violations().empty());
+}
+
+// Guards against runs that a new leader takes from the store and never gives
+// up, since their worker is not listed and cannot be asked.
+TEST_CASE("Recovered runs on workers that are gone are started again") {
+  LedWorld world;
+  world.run_time = Duration(4'000);
+  world.Submit(kJob, MakeJob(4, 8, true), "/holds/");
+  world.Run(Duration(300));
+  REQUIRE(world.workers.running() == 4);
+  world.Kill(0);
+  const std::vector<WorkerEntry> all = world.listed;
+  for (const WorkerEntry& it : all)
+    world.workers.faults(it.id).silent = true;
+  world.listed.clear();
+  for (int n = 0; n < 4; ++n) {
+    world.listed.push_back(MakeWorker("x" + std::to_string(n), "r1-7"));
+    world.workers.Add(world.listed.back());
+  }
+  world.AddNode("n2");
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  for (int n = 0; n < 4; ++n)
+    CHECK(world.workers.starts(Task(kJob, n)) == 2);
+  CHECK(world.workers.violations().empty());
+}
+
+TEST_CASE("A start without an answer is carried out once") {
+  LedWorld world;
+  for (const WorkerEntry& it : world.listed)
+    world.workers.faults(it.id).late_orders = 1;
+  world.Submit(kJob, MakeJob(3, 8, true));
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  world.Run(Duration(8'000));
+  for (int n = 0; n < 3; ++n)
+    CHECK(world.workers.starts(Task(kJob, n)) == 1);
+  CHECK(world.workers.violations().empty());
+}
+
+TEST_CASE("A cancelled job is stopped and shown so") {
+  LedWorld world;
+  world.run_time = Duration(20'000);
+  world.Submit(kJob, MakeJob(2, 8, true));
+  world.Run(Duration(300));
+  REQUIRE(world.workers.running() == 2);
+  CHECK(world.Cancel(kJob).outcome == CallOutcome::kAccepted);
+  world.Run(Duration(800));
+  CHECK(world.workers.running() == 0);
+  CHECK(world.State(kJob).phase == JobPhase::kCancelled);
+  world.Run(Duration(3'000));
+  CHECK(world.workers.total_starts() == 2);
+}
+
+TEST_CASE("Lost answers of the store neither lose nor repeat a job") {
+  LedWorld world;
+  SUBCASE("written, not answered") {
+    world.store.faults().lose_commit_answers = 6;
+  }
+  SUBCASE("written seconds late") {
+    world.store.faults().late_commits = 6;
+  }
+  CallAnswer answer = world.Submit(kJob, MakeJob(2, 8, true));
+  while (answer.outcome == CallOutcome::kOutcomeUnknown)
+    answer = world.Submit(kJob, MakeJob(2, 8, true));
+  REQUIRE(answer.outcome == CallOutcome::kAccepted);
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  world.Run(Duration(6'000));
+  CHECK(world.workers.total_starts() == 2);
+  CHECK(world.workers.violations().empty());
+}
+
+TEST_CASE("Leases last while the store is away, and nothing new starts") {
+  LedWorld world;
+  world.run_time = Duration(9'000);
+  world.Submit(kJob, MakeJob(2, 8, true));
+  world.Run(Duration(300));
+  world.store.faults().refuse = true;
+  world.Run(Duration(7'000));
+  CHECK(world.workers.running() == 2);
+  CHECK(world.workers.total_starts() == 2);
+  world.store.faults().refuse = false;
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  CHECK(world.workers.total_starts() == 2);
+}
+
+// Guards against waiting for a feed that hears nothing, as one does before the
+// store drops its history.
+TEST_CASE("A job is taken up soon although the feeds are silent") {
+  LedWorld world;
+  world.store.faults().silence_feeds = true;
+  world.Run(Duration(1'000));
+  REQUIRE(world.Submit(kJob, MakeJob(1, 1, false)).outcome ==
+          CallOutcome::kAccepted);
+  world.Run(Duration(600));
+  CHECK(world.workers.running() == 1);
+}
+
+TEST_CASE("A failing worker does not fail the jobs that follow") {
+  LedWorld world(2, 3);
+  world.workers.faults(world.listed[0].id).fails_tasks = true;
+  for (int n = 0; n < 12; ++n) {
+    const std::string id = "00000000000000b" + std::string(1, "0123456789ab"[n]);
+    REQUIRE(world.Submit(id, MakeJob(2, 8, true)).outcome ==
+            CallOutcome::kAccepted);
+    CHECK(world.RunUntilFinal(id, kLong) == JobPhase::kComplete);
+  }
+  // Two jobs of two tasks each would start without trouble 24 times.
+  CHECK(world.workers.total_starts() <= 24 + 6);
+}
+
+TEST_CASE("No task starts in a failure domain that was taken out") {
+  LedWorld world;
+  world.site.SetEvacuated(DomainId("cartago"), true);
+  world.Submit(kJob, MakeJob(1, 1, false));
+  world.Run(Duration(3'000));
+  CHECK(world.workers.total_starts() == 0);
+  world.site.SetEvacuated(DomainId("cartago"), false);
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+}
+
+TEST_CASE("A draining worker gets no tasks and loses those it cannot finish") {
+  LedWorld world;
+  world.run_time = Duration(8'000);
+  world.Submit(kJob, MakeJob(1, 8, false));
+  world.Run(Duration(300));
+  REQUIRE(world.workers.running() == 1);
+  const WorkerId holder = world.workers.HolderOf(Task(kJob, 0));
+  for (WorkerEntry& it : world.listed) {
+    it.draining = it.id == holder;
+    it.remaining = Duration(1'000);
+  }
+  world.Run(Duration(2'000));
+  CHECK(world.workers.starts(Task(kJob, 0)) == 2);
+  CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+}
+
+// A guaranteed workspace gets its accelerators back from others in time.
+TEST_CASE("A guaranteed urgent gang begins within three seconds") {
+  LedWorld world;
+  world.run_time = Duration(60'000);
+  world.Submit(kJob, MakeJob(32, 1, false), "/sketches/");
+  // Part of them waits for a while, since they keep out of the emptiest rack.
+  world.Run(Duration(4'000));
+  REQUIRE(world.workers.running() == 32);
+  world.Submit(kOtherJob, MakeJob(2, 8, true), "/holds/");
+  world.Run(Duration(2'600));
+  CHECK(world.workers.IsRunning(Task(kOtherJob, 0)));
+  CHECK(world.workers.IsRunning(Task(kOtherJob, 1)));
+  // Only as many as needed were stopped.
+  CHECK(world.workers.running() >= 2 + 16);
+}
+
+// Random series of kills, silent workers, late orders and lost answers.
+TEST_CASE("Series of faults neither lose nor repeat a task") {
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    Random random(seed);
+    BatchWorld world(2, 3);
+    world.AddNode("n1");
+    world.AddNode("n2");
+    world.Run(Duration(2'500));
+    std::vector<std::string> jobs;
+    for (int round = 0; round < 12; ++round) {
+      const std::string id =
+          "00000000000000" + std::to_string(10 + round);
+      CallAnswer answer;
+      do {
+        answer = world.Submit(
+            id, MakeJob(static_cast<int>(random.Between(1, 4)),
+                        random.Chance(0.5) ? 8 : 2, random.Chance(0.5)));
+      } while (answer.outcome != CallOutcome::kAccepted);
+      jobs.push_back(id);
+      const auto victim =
+          world.listed[random.Below(world.listed.size())].id;
+      ModelWorkerFaults& faults = world.workers.faults(victim);
+      switch (random.Below(6)) {
+        case 0:
+          faults.silent = true;
+          break;
+        case 1:
+          faults.late_orders = static_cast<int>(random.Between(1, 3));
+          break;
+        case 2:
+          if (const int leader = world.Leader(); leader >= 0) {
+            world.Kill(static_cast<size_t>(leader));
+            world.AddNode("n" + std::to_string(10 + round));
+          }
+          break;
+        case 3:
+          world.store.faults().lose_commit_answers = 2;
+          break;
+        case 4:
+          world.store.faults().late_commits = 2;
+          break;
+        default:
+          world.store.DropHistory();
+          break;
+      }
+      world.Run(Duration(random.Between(100, 3'000)));
+      faults.silent = false;
+    }
+    world.store.faults() = {};
+    for (const std::string& id : jobs)
+      CHECK(world.RunUntilFinal(id, kLong) == JobPhase::kComplete);
+    for (const std::string& it : world.workers.violations())
+      FAIL_CHECK(it);
+  }
+}
+
+}  // namespace quetzalshelf::batch
