--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -212,7 +212,8 @@
   std::set<RackId> chosen;
   int64_t sum = 0;
   for (const Rack& it : order) {
-    if (static_cast<double>(sum) >= wanted)
+    const bool half = chosen.size() * 2 + 2 > order.size();
+    if (static_cast<double>(sum) >= wanted || half)
       break;
     sum += it.capacity;
     chosen.insert(it.id);
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -59,8 +59,8 @@
 Placement PlaceTasks(const std::vector<Candidate>& candidates,
                      const Demand& demand);
 
-// The emptiest racks, with about `share` of all accelerators, at least one rack
-// if `share` is above 0. Keeping work that can wait out of them lets urgent
+// The emptiest racks, with about `share` of all accelerators, but never more
+// than half of the racks. Keeping work that can wait out of them lets urgent
 // gangs start at once, whole and within a rack.
 std::set<RackId> ChooseHeadroom(const std::vector<Candidate>& candidates,
                                 double share);
--- a/standins/fleet/memory_versioned_store.cc
+++ b/standins/fleet/memory_versioned_store.cc
@@ -27,18 +27,18 @@
                       [this, transaction] { Apply(transaction); });
     return;
   }
-  runner_.PostAfter(answer_time_, [this, transaction, timeout,
-                                   done = std::move(done)] {
-    CommitOutcome outcome = Apply(transaction);
-    if (faults_.lose_commit_answers > 0) {
-      --faults_.lose_commit_answers;
-      runner_.PostAfter(timeout, [done] {
-        done(absl::DeadlineExceededError("no answer"));
-      });
-      return;
-    }
-    done(std::move(outcome));
-  });
+  runner_.PostAfter(answer_time_,
+                    [this, transaction, timeout, done = std::move(done)] {
+                      CommitOutcome outcome = Apply(transaction);
+                      if (faults_.lose_commit_answers > 0) {
+                        --faults_.lose_commit_answers;
+                        runner_.PostAfter(timeout, [done] {
+                          done(absl::DeadlineExceededError("no answer"));
+                        });
+                        return;
+                      }
+                      done(std::move(outcome));
+                    });
 }
 
 CommitOutcome MemoryVersionedStore::Apply(const StoreTransaction& transaction) {
@@ -94,10 +94,10 @@
 }
 
 void MemoryVersionedStore::Answer(ReadCallback done, StoreSnapshot snapshot) {
-  runner_.PostAfter(answer_time_, [done = std::move(done),
-                                   snapshot = std::move(snapshot)] {
-    done(snapshot);
-  });
+  runner_.PostAfter(answer_time_,
+                    [done = std::move(done), snapshot = std::move(snapshot)] {
+                      done(snapshot);
+                    });
 }
 
 void MemoryVersionedStore::Read(const ReadRange& range,
--- a/standins/fleet/memory_versioned_store.h
+++ b/standins/fleet/memory_versioned_store.h
@@ -15,7 +15,7 @@
 namespace quetzalshelf {
 
 struct MemoryStoreFaults {
-  bool refuse = false;         // Every call is refused.
+  bool refuse = false;          // Every call is refused.
   int lose_commit_answers = 0;  // So many commits are done without an answer.
   // So many commits have no answer and are tried this much later.
   int late_commits = 0;
@@ -47,6 +47,7 @@
   void DropHistory();
 
   MemoryStoreFaults& faults() { return faults_; }
+  void set_answer_time(Duration time) { answer_time_ = time; }
   int reads() const { return reads_; }
 
  private:
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -92,9 +92,8 @@
                         SyncCallback done) {
   ModelWorker& model = workers_[worker.id];
   if (model.faults.silent) {
-    runner_.PostAfter(timeout, [done] {
-      done(absl::DeadlineExceededError("no answer"));
-    });
+    runner_.PostAfter(
+        timeout, [done] { done(absl::DeadlineExceededError("no answer")); });
     return;
   }
   runner_.PostAfter(answer_time_, [this, id = worker.id, request, done] {
@@ -177,13 +176,13 @@
   first_start_.try_emplace(order.task, clock_.Now());
   const bool fails = worker.faults.fails_tasks;
   const Duration duration = fails ? kFailTime : run_time_(order.task);
-  runner_.PostAfter(duration, [this, id = worker.entry.id, task = order.task,
-                               serial, fails] {
-    ModelWorker& here = workers_[id];
-    const auto it = here.runs.find(task);
-    if (it != here.runs.end() && it->second.serial == serial)
-      End(here, task, fails ? EndReason::kFailed : EndReason::kDone);
-  });
+  runner_.PostAfter(
+      duration, [this, id = worker.entry.id, task = order.task, serial, fails] {
+        ModelWorker& here = workers_[id];
+        const auto it = here.runs.find(task);
+        if (it != here.runs.end() && it->second.serial == serial)
+          End(here, task, fails ? EndReason::kFailed : EndReason::kDone);
+      });
   return reply;
 }
 
@@ -221,8 +220,7 @@
                       if (here.lease_serial != serial)
                         return;
                       while (!here.runs.empty())
-                        End(here, here.runs.begin()->first,
-                            EndReason::kLapsed);
+                        End(here, here.runs.begin()->first, EndReason::kLapsed);
                     });
 }
 
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -57,8 +57,8 @@
   bool IsRunning(const batch::TaskId& task) const;
   // The worker that runs the task; empty if none.
   WorkerId HolderOf(const batch::TaskId& task) const;
-  // One line for each broken promise: a task that runs twice at once, or a start
-  // after a done end was noted.
+  // One line for each broken promise: a task that runs twice at once, or a
+  // start after a done end was noted.
   const std::vector<std::string>& violations() const { return violations_; }
 
  private:
--- a/tests/batch/batch_world.cc
+++ b/tests/batch/batch_world.cc
@@ -71,9 +71,8 @@
   for (int rack = 0; rack < racks; ++rack) {
     for (int n = 0; n < workers_a_rack; ++n) {
       const std::string rack_name = "r1-" + std::to_string(rack);
-      listed.push_back(
-          MakeWorker("w" + std::to_string(rack) + std::to_string(n),
-                     rack_name));
+      listed.push_back(MakeWorker(
+          "w" + std::to_string(rack) + std::to_string(n), rack_name));
       workers.Add(listed.back());
     }
   }
@@ -117,9 +116,9 @@
   node.control->Tick(now);
   node.lease->Tick(now, node.control->steady_since(),
                    node.control->answered_at());
-  const bool stale = node.dispatcher && (!node.lease->is_leader() ||
-                                         node.lease->proof().epoch !=
-                                             node.epoch);
+  const bool stale =
+      node.dispatcher &&
+      (!node.lease->is_leader() || node.lease->proof().epoch != node.epoch);
   if (node.deposed) {
     node.lease->StepDown("deposed");
     node.deposed = false;
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -69,6 +69,8 @@
   SUBCASE("with an end that nobody noted") {
     world.Run(Duration(2'200));
   }
+  // The workers answer before the store has told the jobs.
+  world.store.set_answer_time(Duration(40));
   world.Kill(static_cast<size_t>(world.Leader()));
   CHECK(world.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
   world.Run(Duration(9'000));
@@ -211,7 +213,8 @@
   LedWorld world(2, 3);
   world.workers.faults(world.listed[0].id).fails_tasks = true;
   for (int n = 0; n < 12; ++n) {
-    const std::string id = "00000000000000b" + std::string(1, "0123456789ab"[n]);
+    const std::string id =
+        "00000000000000b" + std::string(1, "0123456789ab"[n]);
     REQUIRE(world.Submit(id, MakeJob(2, 8, true)).outcome ==
             CallOutcome::kAccepted);
     CHECK(world.RunUntilFinal(id, kLong) == JobPhase::kComplete);
@@ -273,8 +276,7 @@
     world.Run(Duration(2'500));
     std::vector<std::string> jobs;
     for (int round = 0; round < 12; ++round) {
-      const std::string id =
-          "00000000000000" + std::to_string(10 + round);
+      const std::string id = "00000000000000" + std::to_string(10 + round);
       CallAnswer answer;
       do {
         answer = world.Submit(
@@ -282,8 +284,7 @@
                         random.Chance(0.5) ? 8 : 2, random.Chance(0.5)));
       } while (answer.outcome != CallOutcome::kAccepted);
       jobs.push_back(id);
-      const auto victim =
-          world.listed[random.Below(world.listed.size())].id;
+      const auto victim = world.listed[random.Below(world.listed.size())].id;
       ModelWorkerFaults& faults = world.workers.faults(victim);
       switch (random.Below(6)) {
         case 0:
--- /dev/null
+++ b/tests/batch/job_state_test.cc
@@ -0,0 +1,157 @@
+// Transitions of a job and its row.
+
+#include <doctest/doctest.h>
+
+#include "servers/batch/job_codec.h"
+#include "servers/batch/job_state.h"
+#include "tests/batch/batch_world.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+const WorkerId kWorker("w1");
+
+Job MakeGangJob(int tasks) {
+  JobRecord record;
+  record.id = JobId("00000000000000a1");
+  record.workspace = WorkspaceId("plaza");
+  record.queue = QueueName("plans");
+  record.service = ServiceName("desk");
+  record.attempts = 2;
+  record.slack_factor = 3;
+  record.target_latency = Duration(1'000);
+  record.spec = MakeJob(tasks, 8, true);
+  return Job(std::move(record), FromMillis(10'000), Duration(500));
+}
+
+TaskId Task(const Job& job, int index) {
+  return {job.record().id, 0, 0, index};
+}
+
+void StartAll(Job& job, uint64_t attempt) {
+  for (TaskProgress& it : job.occurrences()[0].steps[0].tasks) {
+    it.attempt = Attempt(attempt);
+    it.run = Run{.worker = kWorker, .attempt = Attempt(attempt)};
+  }
+}
+
+}  // namespace
+
+TEST_CASE(
+    "One failure of a gang counts once, and enough of them fail the job") {
+  Job job = MakeGangJob(2);
+  StartAll(job, 1);
+  CHECK(
+      job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK(
+      job.ApplyEnd(Task(job, 1), Attempt(1), EndReason::kBroken, "", kWorker));
+  CHECK(job.Find(Task(job, 1))->failures == 1);
+  CHECK(job.phase() == JobPhase::kQueued);
+  StartAll(job, 2);
+  job.ApplyEnd(Task(job, 0), Attempt(2), EndReason::kFailed, "", kWorker);
+  job.ApplyEnd(Task(job, 1), Attempt(2), EndReason::kFailed, "", kWorker);
+  CHECK(job.Find(Task(job, 0))->failures == 2);
+  CHECK(job.phase() == JobPhase::kFailed);
+}
+
+// Guards against counting an end again that a worker lists a second time.
+TEST_CASE("An end that was applied before changes nothing") {
+  Job job = MakeGangJob(1);
+  StartAll(job, 1);
+  CHECK(
+      job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK_FALSE(
+      job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK(job.Find(Task(job, 0))->failures == 1);
+}
+
+TEST_CASE("A done end stands, whatever was believed of its run") {
+  Job job = MakeGangJob(2);
+  StartAll(job, 1);
+  job.ApplyLoss(Task(job, 0), Attempt(1));
+  CHECK(job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kDone, "", kWorker));
+  CHECK(job.phase() == JobPhase::kComplete);
+}
+
+TEST_CASE("A checkpoint of one member is valid for its gang") {
+  Job job = MakeGangJob(2);
+  StartAll(job, 1);
+  job.SaveCheckpoint(Task(job, 1), "c1", FromMillis(11'000));
+  CHECK(job.Find(Task(job, 0))->checkpoint == "c1");
+}
+
+TEST_CASE("The row of a job restores its progress") {
+  Job job = MakeGangJob(2);
+  StartAll(job, 3);
+  job.set_begun();
+  job.SaveCheckpoint(Task(job, 0), "c1", FromMillis(11'000));
+  Job restored = MakeGangJob(2);
+  REQUIRE(restored.RestoreState(job.EncodeState(), FromMillis(12'000)));
+  CHECK(restored.phase() == JobPhase::kRunning);
+  const TaskProgress& task = *restored.Find(Task(job, 1));
+  REQUIRE(task.run);
+  CHECK(task.run->phase == RunPhase::kRecovered);
+  CHECK(task.run->worker == kWorker);
+  CHECK(task.attempt == Attempt(3));
+  CHECK(task.checkpoint == "c1");
+  CHECK(DecodeStateSummary(job.EncodeState())->phase == JobPhase::kRunning);
+}
+
+// The row of a job that is over is short; it must still never run again.
+TEST_CASE("A job that is over stays so when it is restored") {
+  Job job = MakeGangJob(2);
+  StartAll(job, 1);
+  job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kDone, "", kWorker);
+  job.ApplyEnd(Task(job, 1), Attempt(1), EndReason::kDone, "", kWorker);
+  Job restored = MakeGangJob(2);
+  REQUIRE(restored.RestoreState(job.EncodeState(), FromMillis(12'000)));
+  CHECK(restored.phase() == JobPhase::kComplete);
+  CHECK(restored.IsFinal());
+}
+
+TEST_CASE("An unreadable row is refused") {
+  Job job = MakeGangJob(1);
+  CHECK_FALSE(job.RestoreState("", FromMillis(0)));
+  CHECK_FALSE(
+      job.RestoreState(R"({"tasks":[[0,0,9,0,1,0,"",""]]})", FromMillis(0)));
+  CHECK_FALSE(job.RestoreState(R"({"tasks":[[0]]})", FromMillis(0)));
+  CHECK_FALSE(DecodeStateSummary("[]"));
+}
+
+TEST_CASE("The record of a job survives its row") {
+  Job job = MakeGangJob(3);
+  JobRecord record = job.record();
+  StepSpec& step = record.spec.steps[0];
+  step.depends_on = {};
+  step.checkpointing = step.rack_local = true;
+  step.required_label = "a";
+  step.data_rack = RackId("r1-2");
+  step.max_per_worker = 2;
+  record.spec.recurrence = {4, 1'700'000'000'000, Duration(4'500)};
+  Findings findings;
+  const auto read =
+      DecodeJobRecord(record.id, EncodeJobRecord(record), findings);
+  REQUIRE(read);
+  CHECK(findings.empty());
+  CHECK(EncodeJobRecord(*read) == EncodeJobRecord(record));
+  CHECK_FALSE(DecodeJobRecord(record.id, "{}", findings));
+  CHECK_FALSE(findings.empty());
+}
+
+TEST_CASE("The objective counts from the acceptance") {
+  Job job = MakeGangJob(1);
+  // Accepted at 9,500 ms; three times 2,500 ms and 1,000 ms more.
+  CHECK(job.Objective() == FromMillis(18'000));
+}
+
+TEST_CASE("Names of tasks are read back") {
+  const TaskId task{JobId("5c0e7a21d94b36f8"), 2, 1, 17};
+  TaskId read;
+  REQUIRE(ParseTaskId(ToString(task), read));
+  CHECK(read == task);
+  CHECK_FALSE(ParseTaskId("5c0e7a21d94b36f8", read));
+  CHECK_FALSE(ParseTaskId("a.b.c.d", read));
+}
+
+}  // namespace quetzalshelf::batch
