--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "core/logging.h"
 
 namespace quetzalshelf {
@@ -30,6 +32,8 @@
 constexpr Duration kStopLinger{2'500};
 // Left of the grace for the end of the process.
 constexpr Duration kStopMargin{1'200};
+// Served beside the metrics, for operators.
+constexpr char kStatusPath[] = "/status";
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
 
@@ -109,7 +113,7 @@
             site_,
             load_,
             {.config_trust = settings.revoke_limit * 56 / 100}),
-      caller_api_(desk_, clock_),
+      caller_api_(desk_, clock_, metrics_),
       caller_server_(io,
                      ServerOptions(settings.callers.host,
                                    settings.callers.port,
@@ -128,14 +132,17 @@
           [this](const HttpRequest&, const EventHttpServer::Reply& reply) {
             HandleReadiness(reply);
           }),
-      metrics_server_(
-          io,
-          ServerOptions(settings.callers.host,
-                        settings.metrics_port,
-                        kInternalConnections),
-          [this](const HttpRequest&, const EventHttpServer::Reply& reply) {
-            HandleMetrics(reply);
-          }),
+      metrics_server_(io,
+                      ServerOptions(settings.callers.host,
+                                    settings.metrics_port,
+                                    kInternalConnections),
+                      [this](const HttpRequest& request,
+                             const EventHttpServer::Reply& reply) {
+                        if (request.path == kStatusPath)
+                          HandleStatus(reply);
+                        else
+                          HandleMetrics(reply);
+                      }),
       timer_(io) {
   lease_.set_report_source([this] {
     return leadership_
@@ -247,6 +254,23 @@
   reply(response);
 }
 
+void EntryNode::HandleStatus(const EventHttpServer::Reply& reply) {
+  const TimePoint now = clock_.Now();
+  const batch::SiteConfig* const config = site_.config();
+  const nlohmann::json status = {
+      {"node", settings_.node.value()},
+      {"failure_domain", settings_.domain.value()},
+      {"stopping", static_cast<bool>(stopped_)},
+      {"leader_epoch", leadership_ ? leadership_->epoch.value() : 0},
+      {"config_version", config ? config->version : 0},
+      {"config_age_ms", (now - site_.confirmed_at()).count()},
+      {"load", nlohmann::json::parse(lease_.report(), nullptr, false)},
+      {"requests_in_flight", caller_server_.requests_in_flight()}};
+  HttpResponse response;
+  response.body = status.dump();
+  reply(response);
+}
+
 void EntryNode::OnWorkers(const std::vector<batch::WorkerEntry>& entries) {
   if (leadership_)
     leadership_->dispatcher->OnWorkers(entries, clock_.Now());
--- a/main/daemon/entry_node.h
+++ b/main/daemon/entry_node.h
@@ -53,6 +53,7 @@
   void TickLeadership(TimePoint now);
   void HandleReadiness(const EventHttpServer::Reply& reply);
   void HandleMetrics(const EventHttpServer::Reply& reply);
+  void HandleStatus(const EventHttpServer::Reply& reply);
   void ArmTimer();
 
   void OnWorkers(const std::vector<batch::WorkerEntry>& entries) override;
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -221,7 +221,8 @@
   batch::SiteView site;
   batch::LoadView load;
   batch::JobDesk desk(store, clock, site, load, {});
-  CallerApi api(desk, clock);
+  MetricsRegistry metrics;
+  CallerApi api(desk, clock, metrics);
   HttpRequest request;
   request.headers = {{"Host", "h"}, {"Authorization", "Token k1"}};
   const auto call = [&](const char* method, const char* path,
@@ -279,6 +280,10 @@
   CHECK(call("POST", kPath, kBody).status == 503);
   request.headers = {{"Host", "h"}, {"Authorization", "Token old"}};
   CHECK(call("GET", kPath).status == 401);
+  CHECK(metrics
+            .GetCounter(
+                "quetzalshelf_calls_total{method=\"GET\",status=\"410\"}")
+            .value() == 1);
 }
 
 }  // namespace quetzalshelf::platform
