Name results and reasons in log lines

Cause: log lines gave numbers for the results of orders and the reasons of ends, which an on-call engineer had to look up. Change: names; an unused member and a copied parameter go. Ruled out: changed behaviour.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -160,7 +160,6 @@
   TimePoint last_pass_;
   TimePoint next_cleanup_;
   TimePoint workers_confirmed_at_;
-  TimePoint started_at_;
 
   Counter& starts_;
   Counter& ends_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -224,8 +224,7 @@
       break;
   }
   LOG(WARNING) << "worker " << worker_id << " refused to start task "
-               << ToString(id)
-               << ": result=" << static_cast<int>(reply->result);
+               << ToString(id) << ": result=" << ToString(reply->result);
   worker.avoid_until = std::max(worker.avoid_until, now + kRefusingWorkerPause);
   worker.sync_soon = true;
   StepProgress& step = *job.FindStep(id);
@@ -435,7 +434,7 @@
       LOG(INFO) << "task " << ToString(end.task)
                 << " ended: worker=" << worker.entry.id
                 << " attempt=" << end.attempt
-                << " reason=" << static_cast<int>(end.reason);
+                << " reason=" << ToString(end.reason);
       StepProgress& step = *job->FindStep(end.task);
       if (end.reason == EndReason::kFailed) {
         failures_.Add();
--- a/servers/batch/worker_port.h
+++ b/servers/batch/worker_port.h
@@ -40,6 +40,8 @@
   kOtherIncarnation,  // Another life of the worker answered.
 };
 
+const char* ToString(OrderResult result);
+
 struct OrderReply {
   OrderResult result = OrderResult::kDone;
   std::optional<int64_t> clock_ms;  // The worker's clock.
@@ -54,6 +56,8 @@
 
 enum class EndReason { kDone, kFailed, kStopped, kLapsed, kBroken, kAlone };
 
+const char* ToString(EndReason reason);
+
 struct ListedRun {
   TaskId task;
   Attempt attempt;
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -38,7 +38,7 @@
 void ModelWorkers::Deliver(const WorkerId& id,
                            Duration timeout,
                            std::function<void()> carry_out,
-                           std::function<void(absl::Status)> give_up) {
+                           const std::function<void(absl::Status)>& give_up) {
   ModelWorkerFaults& faults = workers_[id].faults;
   const auto no_answer = [give_up] {
     give_up(absl::DeadlineExceededError("no answer"));
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -83,7 +83,7 @@
   void Deliver(const WorkerId& id,
                Duration timeout,
                std::function<void()> carry_out,
-               std::function<void(absl::Status)> give_up);
+               const std::function<void(absl::Status)>& give_up);
   batch::OrderReply CarryOutStart(ModelWorker& worker,
                                   const batch::StartOrder& order);
   batch::OrderReply CarryOutStop(ModelWorker& worker,
