Keep the call in its exchange

Cause: the linter found a parameter copied for each call. Change: the exchange owns the call. Ruled out: changed behaviour.

--- a/drivers/http/event_http_client.cc
+++ b/drivers/http/event_http_client.cc
@@ -31,7 +31,7 @@
   Impl(asio::io_context& io, EventHttpClientOptions options)
       : io_(io), options_(options) {}
 
-  void Call(const HttpCall& call, Callback done);
+  void Call(HttpCall call, Callback done);
   void Shutdown() {
     stopped_ = true;
     idle_.clear();
@@ -59,20 +59,20 @@
     : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(std::shared_ptr<Impl> client,
-           const HttpCall& call,
+           HttpCall call,
            tcp::endpoint endpoint,
            Callback done)
       : client_(std::move(client)),
         endpoint_(std::move(endpoint)),
-        text_(SerializeRequest(call)),
+        call_(std::move(call)),
+        text_(SerializeRequest(call_)),
         done_(std::move(done)),
         timer_(client_->io_),
         parser_(HttpMessageKind::kResponse,
-                {client_->options_.max_header_bytes, call.max_reply_bytes}),
-        timeout_(call.timeout) {}
+                {client_->options_.max_header_bytes, call_.max_reply_bytes}) {}
 
   void Run(std::unique_ptr<tcp::socket> idle) {
-    Arm(timeout_, &Exchange::OnTimeout);
+    Arm(call_.timeout, &Exchange::OnTimeout);
     if (idle) {
       socket_ = std::move(idle);
       Write();
@@ -80,7 +80,7 @@
     }
     socket_ = std::make_unique<tcp::socket>(client_->io_);
     connecting_ = true;
-    if (client_->options_.connect_timeout < timeout_)
+    if (client_->options_.connect_timeout < call_.timeout)
       Arm(client_->options_.connect_timeout, &Exchange::OnConnectTimeout);
     socket_->async_connect(
         endpoint_, [self = shared_from_this()](const asio::error_code& ec) {
@@ -117,7 +117,7 @@
     }
     asio::error_code ignored;
     socket_->set_option(tcp::no_delay(true), ignored);
-    Arm(timeout_, &Exchange::OnTimeout);
+    Arm(call_.timeout, &Exchange::OnTimeout);
     Write();
   }
 
@@ -195,17 +195,17 @@
 
   std::shared_ptr<Impl> client_;
   tcp::endpoint endpoint_;
+  HttpCall call_;
   std::string text_;
   Callback done_;
   asio::steady_timer timer_;
   HttpStreamParser parser_;
-  Duration timeout_;
   std::unique_ptr<tcp::socket> socket_;
   std::array<char, kReadBytes> buf_;
   bool connecting_ = false;
 };
 
-void EventHttpClient::Impl::Call(const HttpCall& call, Callback done) {
+void EventHttpClient::Impl::Call(HttpCall call, Callback done) {
   asio::error_code ec;
   const auto address = asio::ip::make_address(call.host, ec);
   if (ec) {
@@ -216,10 +216,10 @@
   }
   const tcp::endpoint endpoint(address,
                                static_cast<asio::ip::port_type>(call.port));
-  const auto exchange = std::make_shared<Exchange>(shared_from_this(), call,
-                                                   endpoint, std::move(done));
-  exchange->Run(call.connection == ConnectionUse::kFresh ? nullptr
-                                                         : TakeIdle(endpoint));
+  const bool fresh = call.connection == ConnectionUse::kFresh;
+  const auto exchange = std::make_shared<Exchange>(
+      shared_from_this(), std::move(call), endpoint, std::move(done));
+  exchange->Run(fresh ? nullptr : TakeIdle(endpoint));
 }
 
 std::unique_ptr<tcp::socket> EventHttpClient::Impl::TakeIdle(
@@ -264,7 +264,7 @@
 }
 
 void EventHttpClient::Call(HttpCall call, Callback done) {
-  impl_->Call(call, std::move(done));
+  impl_->Call(std::move(call), std::move(done));
 }
 
 }  // namespace quetzalshelf
