Bound the leases of a leader that has lost the store

Cause: a leader cut off from the store went on renewing the leases of workers that are cut off with it, for as long as the cut lasts. Its successor cannot reach these workers and took their leases for expired 6.3 s after the take-over.

Ruled out: a late order (no order was late there); a clock that stands still (the clock counts suspended time already); a successor that waits for these workers without a limit (workers that are gone for good look the same).

Change: leases end at most 8 s after the last write that showed that the node still led, whether heartbeat or states, counted from the sending of that write. A successor assumes the same 8 s for workers that have not answered it. Starts are held back when no whole start lease may be granted. The fixture of the batch tests can cut each node from the store and from workers.

Result: the new test failed first in both parts (started twice, started after its end) and passes.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -218,6 +218,7 @@
   leadership_->worker_watch->Tick(now);
   leadership_->dispatcher->ConfirmWorkers(
       leadership_->worker_watch->confirmed_at());
+  leadership_->dispatcher->ConfirmLeadership(lease_.confirmed_at());
   leadership_->dispatcher->Tick(now);
 }
 
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -151,6 +151,12 @@
          now - job_rows_->confirmed_at() <= kMaxViewAge;
 }
 
+Duration Dispatcher::MaxLease(TimePoint now) const {
+  const TimePoint confirmed =
+      std::max(leadership_confirmed_at_, writer_.confirmed_at());
+  return confirmed + kUnconfirmedLeaseLimit - now;
+}
+
 void Dispatcher::OnStates(const std::vector<StoreRow>& rows) {
   const TimePoint now = clock_.Now();
   for (const StoreRow& it : rows) {
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -58,6 +58,9 @@
   // Records that the list of workers was current at `time` or later.
   void ConfirmWorkers(TimePoint time) { workers_confirmed_at_ = time; }
 
+  // Records that this node still led at `time` or later.
+  void ConfirmLeadership(TimePoint time) { leadership_confirmed_at_ = time; }
+
   // Stops starting tasks but keeps renewing leases until a successor gives
   // orders.
   void Retire() { retired_ = true; }
@@ -85,6 +88,8 @@
   // Schedules and sends the orders, syncs and writes that are due.
   void Pump(TimePoint now);
   bool MayStart(TimePoint now) const;
+  // Longest lease that may be granted now; negative when none may.
+  Duration MaxLease(TimePoint now) const;
   Duration PassSpacing();
   void Depose(const std::string& reason);
   Job* FindJob(const JobId& id);
@@ -220,6 +225,7 @@
   TimePoint last_pass_;
   TimePoint next_cleanup_;
   TimePoint workers_confirmed_at_;
+  TimePoint leadership_confirmed_at_;
 
   Counter& starts_;
   Counter& ends_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -101,12 +101,15 @@
     return;
   if (run.phase == RunPhase::kStarting && !retired_) {
     if (now - run.phase_since <= kStartTimeout) {
-      SendStart(job, id, run, now);
+      if (MaxLease(now) >= kStartLease)
+        SendStart(job, id, run, now);
       return;
     }
     LOG(WARNING) << "task " << ToString(id) << " attempt=" << run.attempt
-                 << " could not be started on worker " << run.worker;
-    worker.RecordUnreachable();
+                 << " could not be started on worker " << run.worker
+                 << ": ordered=" << run.ordered;
+    if (run.ordered)
+      worker.RecordUnreachable();
     StopRun(job, id, now, "its start timed out with an unknown outcome");
   }
   if (run.phase == RunPhase::kStopping && !run.stop_confirmed)
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -48,8 +48,10 @@
   request.acknowledged_ends = worker.recorded_ends;
   // A worker that does not answer gets no further leases: each sync might still
   // be delivered late, so its runs could never be known to have expired.
-  if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0)
-    request.lease_until_ms = worker.GrantLease(now, kLeaseLength);
+  const Duration lease = std::min(kLeaseLength, MaxLease(now));
+  if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0 &&
+      lease > Duration(0))
+    request.lease_until_ms = worker.GrantLease(now, lease);
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
   if (may_wait)
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -81,8 +81,11 @@
     StepDown("a newer epoch was written");
   // A late write of this incarnation counts as well.
   const bool own = epoch_holder_ == options_.incarnation;
-  if (!leading_ && own && !released_ && epoch_row_.epoch > fencing_token_.epoch)
+  if (!leading_ && own && !released_ &&
+      epoch_row_.epoch > fencing_token_.epoch) {
+    confirmed_at_ = acquire_sent_;
     Lead(epoch_row_);
+  }
 }
 
 void LeaderLease::Tick(TimePoint now,
@@ -159,6 +162,7 @@
 
 void LeaderLease::Acquire(TimePoint now) {
   busy_ = true;
+  acquire_sent_ = now;
   next_try_ = now + kRetry;
   const Epoch epoch = epoch_row_.epoch.Next();
   const json value = {{"epoch", epoch.value()},
@@ -177,15 +181,16 @@
                                              : Duration(now - heartbeat_at_))
                    .count();
   store_.Commit(transaction, kCommitTimeout,
-                [this, alive = alive_,
-                 epoch](const absl::StatusOr<CommitOutcome>& result) {
+                [this, alive = alive_, epoch,
+                 now](const absl::StatusOr<CommitOutcome>& result) {
                   if (*alive)
-                    OnAcquired(result, epoch);
+                    OnAcquired(result, epoch, now);
                 });
 }
 
 void LeaderLease::OnAcquired(const absl::StatusOr<CommitOutcome>& result,
-                             Epoch epoch) {
+                             Epoch epoch,
+                             TimePoint sent) {
   busy_ = false;
   jitter_ = Duration(random_.Between(0, options_.takeover_jitter.count()));
   if (!result.ok()) {
@@ -206,6 +211,7 @@
   epoch_node_ = options_.node;
   leader_share_ = options_.cpu_share;
   released_ = false;
+  confirmed_at_ = std::max(confirmed_at_, sent);
   if (!leading_)
     Lead(epoch_row_);
 }
@@ -227,9 +233,9 @@
   transaction.writes = {{HeartbeatRowKey(), HeartbeatValue(false)}};
   store_.Commit(
       transaction, kCommitTimeout,
-      [this, alive = alive_](const absl::StatusOr<CommitOutcome>& result) {
+      [this, alive = alive_, now](const absl::StatusOr<CommitOutcome>& result) {
         if (*alive)
-          OnHeartbeat(result);
+          OnHeartbeat(result, now);
       });
 }
 
@@ -240,7 +246,8 @@
   return StoreWrite{HeartbeatRowKey(), HeartbeatValue(false)};
 }
 
-void LeaderLease::OnHeartbeat(const absl::StatusOr<CommitOutcome>& result) {
+void LeaderLease::OnHeartbeat(const absl::StatusOr<CommitOutcome>& result,
+                              TimePoint sent) {
   busy_ = false;
   if (!result.ok()) {
     next_try_ = clock_.Now() + kRetry;
@@ -248,8 +255,11 @@
     LOG(WARNING) << "heartbeat failed: " << result.status().message();
     return;
   }
-  if (!result->committed)
+  if (!result->committed) {
     OnRows(result->current, clock_.Now());
+    return;
+  }
+  confirmed_at_ = std::max(confirmed_at_, sent);
 }
 
 void LeaderLease::Release(TimePoint now) {
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -85,6 +85,8 @@
   // heartbeats rarely and takes over last.
   bool is_small_vm() const;
   const FencingToken& fencing_token() const { return fencing_token_; }
+  // When the last write was sent that showed that this node still led.
+  TimePoint confirmed_at() const { return confirmed_at_; }
   // The newest report of the leader and when it arrived.
   const std::string& report() const { return report_; }
   TimePoint report_at() const { return heartbeat_at_; }
@@ -93,7 +95,9 @@
   void Acquire(TimePoint now);
   void SendHeartbeat(TimePoint now);
   void Lead(const FencingToken& fencing_token);
-  void OnAcquired(const absl::StatusOr<CommitOutcome>& result, Epoch epoch);
+  void OnAcquired(const absl::StatusOr<CommitOutcome>& result,
+                  Epoch epoch,
+                  TimePoint sent);
   void ObserveHeartbeat(TimePoint now);
   // Time without a heartbeat after which a takeover is attempted.
   Duration TakeoverTimeout() const;
@@ -103,7 +107,7 @@
   // Whether the leader of the epoch row was an earlier process of this node,
   // which is gone since there is only one at a time.
   bool WasLedByThisNode() const;
-  void OnHeartbeat(const absl::StatusOr<CommitOutcome>& result);
+  void OnHeartbeat(const absl::StatusOr<CommitOutcome>& result, TimePoint sent);
   std::string HeartbeatValue(bool released) const;
 
   VersionedStore& store_;
@@ -128,6 +132,8 @@
   bool retired_ = false;  // Released leadership; never acquires it again.
   bool busy_ = false;
   FencingToken fencing_token_;
+  TimePoint acquire_sent_;  // Of the last attempt.
+  TimePoint confirmed_at_;
   TimePoint next_heartbeat_;
   TimePoint next_try_;
   Duration jitter_{0};
--- a/servers/batch/state_writer.cc
+++ b/servers/batch/state_writer.cc
@@ -168,9 +168,7 @@
   LOG(INFO) << "states found written without an answer: jobs="
             << batch->items.size() << " version=" << row->version;
   std::erase(in_flight_, batch);
-  batch->settled = true;
-  for (const Batch::Item& it : batch->items)
-    Finish(it, row->version);
+  Settle(batch, row->version);
 }
 
 void StateWriter::OnCommitted(const std::shared_ptr<Batch>& batch,
@@ -202,9 +200,7 @@
     OnConflict(batch, *result);
     return;
   }
-  batch->settled = true;
-  for (const Batch::Item& it : batch->items)
-    Finish(it, result->version);
+  Settle(batch, result->version);
 }
 
 void StateWriter::OnConflict(const std::shared_ptr<Batch>& batch,
@@ -239,6 +235,14 @@
   }
 }
 
+void StateWriter::Settle(const std::shared_ptr<Batch>& batch,
+                         RowVersion version) {
+  batch->settled = true;
+  confirmed_at_ = std::max(confirmed_at_, batch->sent);
+  for (const Batch::Item& it : batch->items)
+    Finish(it, version);
+}
+
 void StateWriter::Finish(const Batch::Item& item, RowVersion version) {
   writing_.erase(item.id);
   on_committed_(item.id, item.row.revision, version);
--- a/servers/batch/state_writer.h
+++ b/servers/batch/state_writer.h
@@ -60,6 +60,8 @@
   void Pump(TimePoint now);
   // Whether the last transaction failed for lack of an answer.
   bool failing() const { return failing_; }
+  // When the last transaction was sent that the epoch row let pass.
+  TimePoint confirmed_at() const { return confirmed_at_; }
 
  private:
   struct Batch {
@@ -87,6 +89,8 @@
               const absl::StatusOr<StoreSnapshot>& result);
   void OnConflict(const std::shared_ptr<Batch>& batch,
                   const CommitOutcome& outcome);
+  // The transaction of the batch has taken effect.
+  void Settle(const std::shared_ptr<Batch>& batch, RowVersion version);
   void Finish(const Batch::Item& item, RowVersion version);
 
   VersionedStore& store_;
@@ -105,6 +109,7 @@
   std::set<JobId> writing_;
   std::vector<std::shared_ptr<Batch>> failed_;
   std::vector<std::shared_ptr<Batch>> in_flight_;
+  TimePoint confirmed_at_;
   RowVersion seen_version_;  // Of the store, as of the last answer.
   bool failing_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -112,9 +112,9 @@
   const auto [it, added] = workers_.try_emplace(id);
   if (added) {
     it->second.entry.id = id;
-    // A former leader may have granted a lease just now.
-    const auto longest = static_cast<int64_t>(
-        std::ceil(static_cast<double>(kLongestLease.count()) / kSlowestClock));
+    // A former leader may not know yet that it has been deposed.
+    const auto longest = static_cast<int64_t>(std::ceil(
+        static_cast<double>(kUnconfirmedLeaseLimit.count()) / kSlowestClock));
     it->second.leases_end = now + Duration(longest) + kLeaseMargin;
   }
   return it->second;
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -24,8 +24,10 @@
 inline constexpr Duration kStartLease{2'000};
 // A worker's clock runs at least at this share of the true speed.
 inline constexpr double kSlowestClock = 0.98;
-// Longest lease that any leader can have granted.
-inline constexpr Duration kLongestLease{6'000};
+// Leases end at most this long after the store last confirmed the leader. A
+// successor therefore knows when leases have expired on workers that it cannot
+// reach. Longer than most outages of the store, so that tasks outlive them.
+inline constexpr Duration kUnconfirmedLeaseLimit{8'000};
 // Covers rounding and the travel time of orders.
 inline constexpr Duration kLeaseMargin{200};
 
--- /dev/null
+++ b/standins/fleet/severable_workers.cc
@@ -0,0 +1,45 @@
+#include "standins/fleet/severable_workers.h"
+
+#include <utility>
+
+namespace quetzalshelf {
+
+namespace {
+
+absl::Status NoAnswer() {
+  return absl::DeadlineExceededError("no answer in time");
+}
+
+}  // namespace
+
+void SeverableWorkers::Start(const batch::WorkerEntry& worker,
+                             const batch::StartOrder& order,
+                             Duration timeout,
+                             OrderCallback done) {
+  if (cut_.contains(worker.id))
+    runner_.PostAfter(timeout, [done = std::move(done)] { done(NoAnswer()); });
+  else
+    workers_.Start(worker, order, timeout, std::move(done));
+}
+
+void SeverableWorkers::Stop(const batch::WorkerEntry& worker,
+                            const batch::StopOrder& order,
+                            Duration timeout,
+                            OrderCallback done) {
+  if (cut_.contains(worker.id))
+    runner_.PostAfter(timeout, [done = std::move(done)] { done(NoAnswer()); });
+  else
+    workers_.Stop(worker, order, timeout, std::move(done));
+}
+
+void SeverableWorkers::Sync(const batch::WorkerEntry& worker,
+                            const batch::SyncRequest& request,
+                            Duration timeout,
+                            SyncCallback done) {
+  if (cut_.contains(worker.id))
+    runner_.PostAfter(timeout, [done = std::move(done)] { done(NoAnswer()); });
+  else
+    workers_.Sync(worker, request, timeout, std::move(done));
+}
+
+}  // namespace quetzalshelf
--- /dev/null
+++ b/standins/fleet/severable_workers.h
@@ -0,0 +1,42 @@
+// One node's paths to workers, each of which can be cut.
+
+#ifndef STANDINS_FLEET_SEVERABLE_WORKERS_H_
+#define STANDINS_FLEET_SEVERABLE_WORKERS_H_
+
+#include <set>
+
+#include "core/task_runner.h"
+#include "servers/batch/worker_port.h"
+
+namespace quetzalshelf {
+
+class SeverableWorkers : public batch::WorkerPort {
+ public:
+  SeverableWorkers(batch::WorkerPort& workers, TaskRunner& runner)
+      : workers_(workers), runner_(runner) {}
+
+  // Orders to these workers never arrive and have no answer.
+  void set_cut(std::set<WorkerId> cut) { cut_ = std::move(cut); }
+
+  void Start(const batch::WorkerEntry& worker,
+             const batch::StartOrder& order,
+             Duration timeout,
+             OrderCallback done) override;
+  void Stop(const batch::WorkerEntry& worker,
+            const batch::StopOrder& order,
+            Duration timeout,
+            OrderCallback done) override;
+  void Sync(const batch::WorkerEntry& worker,
+            const batch::SyncRequest& request,
+            Duration timeout,
+            SyncCallback done) override;
+
+ private:
+  batch::WorkerPort& workers_;
+  TaskRunner& runner_;
+  std::set<WorkerId> cut_;
+};
+
+}  // namespace quetzalshelf
+
+#endif  // STANDINS_FLEET_SEVERABLE_WORKERS_H_
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -85,13 +85,16 @@
   options.node = NodeId(name);
   options.incarnation = IncarnationId(name + "-" + std::to_string(++seed_));
   Node node;
-  node.lease = std::make_unique<LeaderLease>(store, runner, options, seed_);
+  node.store = std::make_unique<SeverableStore>(store, runner);
+  node.workers = std::make_unique<SeverableWorkers>(workers, runner);
+  node.lease =
+      std::make_unique<LeaderLease>(*node.store, runner, options, seed_);
   LeaderLease* const lease = node.lease.get();
   const auto on_rows = [this, lease](const std::vector<StoreRow>& rows) {
     lease->OnRows(rows, runner.Now());
   };
   node.control = std::make_unique<TableFollower>(
-      store, runner,
+      *node.store, runner,
       TableFollowerOptions{.table = kControlTable,
                            .partitions = {kLeaderPartition},
                            .poll = kControlPoll},
@@ -129,7 +132,8 @@
   if (node.lease->is_leader() && !node.dispatcher) {
     node.epoch = node.lease->fencing_token().epoch;
     node.dispatcher = std::make_unique<Dispatcher>(
-        store, workers, runner, site, metrics, node.lease->fencing_token(),
+        *node.store, *node.workers, runner, site, metrics,
+        node.lease->fencing_token(),
         [&node](const std::string&) { node.deposed = true; },
         [this, lease = node.lease.get()] {
           return lease->TakeHeartbeat(runner.Now());
@@ -140,6 +144,7 @@
     return;
   node.dispatcher->OnWorkers(listed, now);
   node.dispatcher->ConfirmWorkers(now);
+  node.dispatcher->ConfirmLeadership(node.lease->confirmed_at());
   node.dispatcher->Tick(now);
 }
 
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -14,6 +14,8 @@
 #include "servers/batch/leader_lease.h"
 #include "standins/fleet/memory_versioned_store.h"
 #include "standins/fleet/model_workers.h"
+#include "standins/fleet/severable_store.h"
+#include "standins/fleet/severable_workers.h"
 
 namespace quetzalshelf::batch {
 
@@ -28,6 +30,8 @@
   explicit BatchFixture(int racks = 2, int workers_a_rack = 2);
 
   struct Node {
+    std::unique_ptr<SeverableStore> store;
+    std::unique_ptr<SeverableWorkers> workers;
     std::unique_ptr<LeaderLease> lease;
     std::unique_ptr<TableFollower> control;
     std::unique_ptr<Dispatcher> dispatcher;
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -279,6 +279,36 @@
   CHECK(fixture.workers.total_starts() == 2);
 }
 
+// Guards against two runs of one task after a failure domain was cut off: the
+// former leader still reaches the worker, but not the store, and its successor
+// the other way round.
+TEST_CASE("A leader without the store lets leases expire for its successor") {
+  LeaderFixture fixture(2, 1);
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.Leader() == 0);
+  SUBCASE("a long task is started again once its lease has expired") {
+    fixture.run_time = Duration(40'000);
+  }
+  SUBCASE("a task that ended during the cut is not started again") {
+    fixture.run_time = Duration(3'000);
+  }
+  const bool ends = fixture.run_time < Duration(10'000);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  fixture.Run(Duration(300));
+  const WorkerId holder = fixture.workers.HolderOf(Task(kJob, 0));
+  fixture.nodes[0].store->set_cut(true);
+  fixture.nodes[1].workers->set_cut({holder});
+  fixture.Run(ends ? Duration(8'000) : Duration(20'000));
+  REQUIRE(fixture.nodes[1].dispatcher);
+  fixture.nodes[0].store->set_cut(false);
+  fixture.nodes[1].workers->set_cut({});
+  CHECK(fixture.RunUntilFinal(kJob, Duration(60'000)) == JobPhase::kComplete);
+  fixture.Run(Duration(2'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == (ends ? 1 : 2));
+  CHECK(fixture.workers.violations().empty());
+}
+
 // Guards against waiting for a feed that delivers nothing, as happens before
 // the store drops its history.
 TEST_CASE("A job starts soon although the feeds are silent") {
