Contact workers a part at a time after a change of leader

Cause: a new leader opened a connection to every worker at once. On a VM with a quarter of a core 3,000 connections took longer than their time-out of 300 ms; 577 workers "cannot be synced", their retries added to the load, and the client kept a connection to each worker that it ever called (3,118 of 4,100 descriptors).

Ruled out: the election (leading 0.6 s after the kill, which is the restart), the reads of the tables (45 and 8 ms), and the rates of the store.

Change: a queue of contacts decides which workers are synced first: those with runs, then those that have not failed to answer, rack by rack; 100 at the same time. The HTTP client limits idle connections over all destinations and closes those that are too old, also to workers that are not called any more.

The tests of the fleet and of idle connections failed first (580 syncs at once; connections left open).

Conclusion: connections no longer grow with the fleet while it is idle; those to workers with runs still do.

--- a/drivers/http/event_http_client.cc
+++ b/drivers/http/event_http_client.cc
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <deque>
+#include <list>
 #include <map>
 #include <utility>
-#include <vector>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -35,22 +36,29 @@
   void Shutdown() {
     stopped_ = true;
     idle_.clear();
+    idle_by_endpoint_.clear();
   }
 
  private:
   class Exchange;
   struct IdleConnection {
+    tcp::endpoint endpoint;
     std::unique_ptr<tcp::socket> socket;
     SteadyTime since;
   };
+  using IdleList = std::list<IdleConnection>;
 
   std::unique_ptr<tcp::socket> TakeIdle(const tcp::endpoint& endpoint);
   void PutIdle(const tcp::endpoint& endpoint,
                std::unique_ptr<tcp::socket> socket);
+  // Closes the connection that became idle first.
+  void CloseOldestIdle();
 
   asio::io_context& io_;
   EventHttpClientOptions options_;
-  std::map<tcp::endpoint, std::vector<IdleConnection>> idle_;
+  IdleList idle_;  // In the order in which they became idle.
+  // The same connections, in the same order for each destination.
+  std::map<tcp::endpoint, std::deque<IdleList::iterator>> idle_by_endpoint_;
   bool stopped_ = false;
 };
 
@@ -224,16 +232,17 @@
 
 std::unique_ptr<tcp::socket> EventHttpClient::Impl::TakeIdle(
     const tcp::endpoint& endpoint) {
-  const auto it = idle_.find(endpoint);
-  if (it == idle_.end())
-    return nullptr;
-  auto& connections = it->second;
   const SteadyTime oldest =
       std::chrono::steady_clock::now() - options_.max_idle;
-  std::erase_if(connections,
-                [&](const IdleConnection& c) { return c.since < oldest; });
+  while (!idle_.empty() && idle_.front().since < oldest)
+    CloseOldestIdle();
+  const auto it = idle_by_endpoint_.find(endpoint);
+  if (it == idle_by_endpoint_.end())
+    return nullptr;
+  auto& connections = it->second;
   while (!connections.empty()) {
-    std::unique_ptr<tcp::socket> socket = std::move(connections.back().socket);
+    std::unique_ptr<tcp::socket> socket = std::move(connections.back()->socket);
+    idle_.erase(connections.back());
     connections.pop_back();
     // A readable idle connection was closed by the peer or is out of step.
     asio::error_code ec;
@@ -243,16 +252,28 @@
     if (ec == asio::error::would_block)
       return socket;
   }
-  idle_.erase(it);
+  idle_by_endpoint_.erase(it);
   return nullptr;
 }
 
 void EventHttpClient::Impl::PutIdle(const tcp::endpoint& endpoint,
                                     std::unique_ptr<tcp::socket> socket) {
-  auto& connections = idle_[endpoint];
+  auto& connections = idle_by_endpoint_[endpoint];
   if (static_cast<int>(connections.size()) >= options_.max_idle_per_destination)
     return;
-  connections.push_back({std::move(socket), std::chrono::steady_clock::now()});
+  idle_.push_back(
+      {endpoint, std::move(socket), std::chrono::steady_clock::now()});
+  connections.push_back(std::prev(idle_.end()));
+  while (idle_.size() > options_.max_idle_total)
+    CloseOldestIdle();
+}
+
+void EventHttpClient::Impl::CloseOldestIdle() {
+  const auto it = idle_by_endpoint_.find(idle_.front().endpoint);
+  it->second.pop_front();
+  if (it->second.empty())
+    idle_by_endpoint_.erase(it);
+  idle_.pop_front();
 }
 
 EventHttpClient::EventHttpClient(asio::io_context& io,
--- a/drivers/http/event_http_client.h
+++ b/drivers/http/event_http_client.h
@@ -20,6 +20,9 @@
   // Longer idle connections are not used again.
   Duration max_idle{0};
   int max_idle_per_destination = 0;
+  // Idle connections to all destinations together. Beyond it the one that was
+  // used least recently is closed.
+  size_t max_idle_total = 1'000;
   size_t max_header_bytes = 0;
 };
 
--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -20,6 +20,8 @@
 constexpr Duration kMaxIdle{20'000};
 constexpr int kIdleStoreConnections = 8;
 constexpr int kIdleWorkerConnections = 4;
+// Far below the descriptors that are kept for workers, which calls need too.
+constexpr size_t kMaxIdleConnections = 600;
 constexpr size_t kHeaderBytes = 16'384;
 constexpr size_t kBodyBytes = 262'144;
 // Descriptors that are not for callers: files, the store and workers.
@@ -40,6 +42,7 @@
   return {.connect_timeout = kConnectTimeout,
           .max_idle = kMaxIdle,
           .max_idle_per_destination = idle_per_destination,
+          .max_idle_total = kMaxIdleConnections,
           .max_header_bytes = kHeaderBytes};
 }
 
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -104,6 +104,8 @@
   TickRuns(now);
   for (auto& [id, worker] : registry_.workers())
     TickWorker(worker, now);
+  contacts_.Refill(registry_.workers(), now);
+  ContactWorkers(now);
   Pump(now);
   if (now >= next_cleanup_) {
     next_cleanup_ = now + kCleanupPeriod;
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -20,6 +20,7 @@
 #include "core/metrics.h"
 #include "core/platform/versioned_store.h"
 #include "core/time.h"
+#include "servers/batch/contact_queue.h"
 #include "servers/batch/job_state.h"
 #include "servers/batch/load_report.h"
 #include "servers/batch/placement.h"
@@ -130,6 +131,8 @@
 
   // dispatcher_sync.cc: runs and ends that workers report.
   void TickWorker(Worker& worker, TimePoint now);
+  // Syncs workers that have not answered yet, as many as the queue allows.
+  void ContactWorkers(TimePoint now);
   void SendSync(Worker& worker, TimePoint now);
   void OnSyncReply(const WorkerId& id,
                    uint64_t sent_event,
@@ -204,6 +207,7 @@
   std::set<JobId> cancelled_;
   std::map<JobId, StoreRow> restored_;
   WorkerRegistry registry_;
+  ContactQueue contacts_;
   FailureBurstDetector failure_bursts_;
   WorkerSpeeds speeds_;
   // Mean time between the request of a stop and the end of the run.
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -32,16 +32,24 @@
 }  // namespace
 
 void Dispatcher::TickWorker(Worker& worker, TimePoint now) {
-  if (worker.sync_in_flight || worker.entry.port == 0 || now < worker.next_sync)
+  if (!worker.synced || worker.sync_in_flight || worker.entry.port == 0 ||
+      now < worker.next_sync)
     return;
   const bool wanted = worker.runs > 0 || worker.sync_soon ||
                       !worker.pending_ends.empty() ||
                       worker.acknowledged_ends < worker.recorded_ends;
-  const bool first_sync = worker.listed && !worker.synced;
-  if (wanted || first_sync)
+  if (wanted)
     SendSync(worker, now);
 }
 
+void Dispatcher::ContactWorkers(TimePoint now) {
+  for (WorkerId id = contacts_.Next(); !id.empty(); id = contacts_.Next()) {
+    Worker& worker = registry_.FindOrAdd(id, now);
+    worker.contact = true;
+    SendSync(worker, now);
+  }
+}
+
 void Dispatcher::SendSync(Worker& worker, TimePoint now) {
   SyncRequest request;
   request.epoch = fencing_token_.epoch;
@@ -77,6 +85,10 @@
   const TimePoint now = clock_.Now();
   Worker& worker = registry_.FindOrAdd(id, now);
   worker.sync_in_flight = false;
+  if (std::exchange(worker.contact, false)) {
+    contacts_.Finish();
+    ContactWorkers(now);
+  }
   if (!reply.ok() || (reply->result != OrderResult::kDone &&
                       reply->result != OrderResult::kFenced)) {
     if (worker.sync_failures++ == 0) {
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -45,6 +45,7 @@
   TimePoint leases_end;
 
   bool sync_in_flight = false;
+  bool contact = false;  // The sync in flight counts in the contact queue.
   bool sync_soon = false;
   TimePoint next_sync;
   int sync_failures = 0;
--- a/standins/fleet/severable_workers.cc
+++ b/standins/fleet/severable_workers.cc
@@ -1,5 +1,6 @@
 #include "standins/fleet/severable_workers.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalshelf {
@@ -36,10 +37,17 @@
                             const batch::SyncRequest& request,
                             Duration timeout,
                             SyncCallback done) {
+  most_syncs_ = std::max(most_syncs_, ++syncs_);
+  SyncCallback finish =
+      [this, done = std::move(done)](absl::StatusOr<batch::SyncReply> reply) {
+        --syncs_;
+        done(std::move(reply));
+      };
   if (cut_.contains(worker.id))
-    runner_.PostAfter(timeout, [done = std::move(done)] { done(NoAnswer()); });
+    runner_.PostAfter(timeout,
+                      [finish = std::move(finish)] { finish(NoAnswer()); });
   else
-    workers_.Sync(worker, request, timeout, std::move(done));
+    workers_.Sync(worker, request, timeout, std::move(finish));
 }
 
 }  // namespace quetzalshelf
--- a/standins/fleet/severable_workers.h
+++ b/standins/fleet/severable_workers.h
@@ -4,6 +4,7 @@
 #define STANDINS_FLEET_SEVERABLE_WORKERS_H_
 
 #include <set>
+#include <utility>
 
 #include "core/task_runner.h"
 #include "servers/batch/worker_port.h"
@@ -17,6 +18,8 @@
 
   // Orders to these workers never arrive and have no answer.
   void set_cut(std::set<WorkerId> cut) { cut_ = std::move(cut); }
+  // The most syncs that waited for an answer at the same time.
+  int most_syncs() const { return most_syncs_; }
 
   void Start(const batch::WorkerEntry& worker,
              const batch::StartOrder& order,
@@ -35,6 +38,8 @@
   batch::WorkerPort& workers_;
   TaskRunner& runner_;
   std::set<WorkerId> cut_;
+  int syncs_ = 0;
+  int most_syncs_ = 0;
 };
 
 }  // namespace quetzalshelf
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -457,6 +457,39 @@
   CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
 }
 
+// Guards against a cold start of a large fleet in which the leader's VM cannot
+// make all connections in time and repeats them.
+TEST_CASE("A new leader contacts a large fleet a part at a time") {
+  constexpr int kRacks = 9;
+  constexpr int kWorkersARack = 60;
+  LeaderFixture fixture(kRacks, kWorkersARack);
+  CHECK(fixture.nodes[0].workers->most_syncs() <= 100);
+  fixture.Submit(kJob, MakeJob(kRacks * kWorkersARack, 8, false), "/holds/");
+  fixture.Run(Duration(500));
+  CHECK(fixture.workers.running() == kRacks * kWorkersARack);
+  CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+}
+
+// Guards against leases that expire while a new leader waits for workers that
+// do not answer.
+TEST_CASE("A new leader first contacts the workers that run tasks") {
+  LeaderFixture fixture(9, 60);
+  fixture.AddNode("n2");
+  fixture.run_time = Duration(12'000);
+  fixture.Submit(kJob, MakeJob(4, 8, true), "/holds/");
+  fixture.Run(Duration(200));
+  REQUIRE(fixture.workers.running() == 4);
+  std::set<WorkerId> holders;
+  for (int n = 0; n < 4; ++n)
+    holders.insert(fixture.workers.HolderOf(Task(kJob, n)));
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).silent = !holders.contains(it.id);
+  fixture.Kill(0);
+  CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  for (int n = 0; n < 4; ++n)
+    CHECK(fixture.workers.starts(Task(kJob, n)) == 1);
+}
+
 // Guards against lost or repeated tasks under random series of kills, silent
 // workers, late orders, lost or late commits and dropped store history.
 TEST_CASE("Series of faults neither lose nor repeat a task") {
--- a/tests/drivers/event_http_test.cc
+++ b/tests/drivers/event_http_test.cc
@@ -144,6 +144,34 @@
   CHECK(echo.server.connections() == 1);
 }
 
+// Guards against descriptors that run out because a node keeps a connection to
+// each worker that it ever called.
+TEST_CASE("Idle connections are limited over all destinations") {
+  EchoServer first;
+  EventHttpServer second(
+      first.io,
+      {.host = "127.0.0.1",
+       .connection_limit = 4,
+       .limits = {512, 64},
+       .idle_timeout = kLongTimeout,
+       .request_timeout = kLongTimeout},
+      [](const HttpRequest&, const EventHttpServer::Reply& reply) {
+        reply(HttpResponse());
+      });
+  REQUIRE(second.Start().ok());
+  EventHttpClientOptions options = ClientOptions();
+  options.max_idle_total = 1;
+  EventHttpClient client(first.io, options);
+  for (int n = 0; n < 3; ++n) {
+    REQUIRE(Call(first.io, client, MakeCall(first.server.port(), "GET", "/x"))
+                .ok());
+    REQUIRE(Call(first.io, client, MakeCall(second.port(), "GET", "/x")).ok());
+  }
+  while (first.server.connections() > 0)
+    first.io.run_one();
+  CHECK(second.connections() == 1);
+}
+
 // Guards against sending an order twice, however its connection breaks.
 TEST_CASE("No call is sent twice, and its outcome is told truly") {
   const std::pair<Misbehaviour, bool> cases[] = {
