Survive malformed rows, and reject jobs that could never run

A control, heartbeat or state row with a field of another type threw in the JSON library, which ended the process, and then each leader that read the row. A submission with a field out of range (a negative or huge estimate, more than 65,536 bytes of payload) was accepted, but the leader could not decode its record, so the job never ran; one with too many tasks could not be written as a state row, and would have kept the batch it is in from being written.

Ruled out by tests that pass at once: silent or unlisted workers keep their runs, a paused leader starts nothing twice, a successor does not use a worker that has left, jumps of the time of day change nothing, queued tasks start on new workers in 0.2 s.

Change: rows are read with the reader that collects findings. A job is accepted only if the leader can decode its record, with at most 1,300 tasks in an occurrence and 20,000 in all. An unexpected exception ends its handler, not the process; the node gives up leadership, whose state may be inconsistent.

Conclusion: the reading of rows does not throw any more. Messages of callers and workers went through a collecting reader before.

--- a/drivers/clock/manual_task_runner.h
+++ b/drivers/clock/manual_task_runner.h
@@ -22,7 +22,9 @@
   void PostAfter(Duration delay, std::function<void()> task) override;
 
   TimePoint Now() const override { return now_; }
-  int64_t WallMillis() const override { return ToMillis(now_); }
+  int64_t WallMillis() const override { return ToMillis(now_) + wall_offset_; }
+  // Makes the time of day jump; Now() stays as it is.
+  void StepWallClock(Duration by) { wall_offset_ += by.count(); }
 
   // Runs every task that is due, also those posted meanwhile for the present.
   void RunReady() { Advance(Duration{0}); }
@@ -34,6 +36,7 @@
  private:
   TimePoint now_;
   uint64_t next_ = 0;
+  int64_t wall_offset_ = 0;
   std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> tasks_;
 };
 
--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -169,6 +169,11 @@
   lease_.Release(stop_began_);
 }
 
+void EntryNode::OnUnexpectedError() {
+  leadership_.reset();
+  lease_.StepDown("an unexpected error");
+}
+
 void EntryNode::ArmTimer() {
   timer_.expires_after(kTick);
   timer_.async_wait([this](const asio::error_code& ec) {
@@ -178,6 +183,8 @@
 }
 
 void EntryNode::OnTick() {
+  // Armed first, so that an error below does not stop the ticks.
+  ArmTimer();
   const TimePoint now = clock_.Now();
   operator_watch_.Tick(now);
   control_.set_spacing(lease_.is_small_vm() ? batch::kSmallVmPollSpacing
@@ -188,7 +195,6 @@
   TickLeadership(now);
   if (stopped_)
     TickStop(now);
-  ArmTimer();
 }
 
 void EntryNode::TickLeadership(TimePoint now) {
--- a/main/daemon/entry_node.h
+++ b/main/daemon/entry_node.h
@@ -44,6 +44,8 @@
   // Hands leadership over, answers what was read, and runs `done` once callers
   // are gone or the grace ends.
   void Stop(std::function<void()> done);
+  // Gives up leadership, whose state may be inconsistent after an error.
+  void OnUnexpectedError();
 
  private:
   // What only the leader has.
--- a/main/daemon/main.cc
+++ b/main/daemon/main.cc
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 
+#include "core/event_loop.h"
 #include "core/logging.h"
 #include "core/random.h"
 #include "main/daemon/daemon.h"
@@ -94,7 +95,7 @@
   });
   // Settings are read at the start; a reload changes none of them.
   std::signal(SIGHUP, SIG_IGN);
-  io.run();
+  RunEventLoop([&io] { io.run(); }, [&node] { node.OnUnexpectedError(); });
   return kExitOk;
 }
 
--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -39,6 +39,29 @@
   return {.outcome = outcome, .detail = std::move(detail)};
 }
 
+// Tasks of one occurrence. Its state is one row of the store, which takes
+// 64 KiB and needs about 50 bytes for a running task.
+constexpr int64_t kMaxTasks = 1'300;
+// Tasks of all occurrences, which the leader keeps in memory.
+constexpr int64_t kMaxTasksOfAll = 20'000;
+
+// Says why the leader could never run the job of this row; empty if it can.
+std::string FindObstacle(const JobRecord& record, const std::string& row) {
+  Findings findings;
+  if (!DecodeJobRecord(record.id, row, findings))
+    return findings.ToString();
+  int64_t tasks = 0;
+  for (const StepSpec& it : record.spec.steps)
+    tasks += it.tasks;
+  if (tasks > kMaxTasks)
+    return "more than " + std::to_string(kMaxTasks) + " tasks";
+  if (tasks * record.spec.recurrence.occurrences > kMaxTasksOfAll) {
+    return "more than " + std::to_string(kMaxTasksOfAll) +
+           " tasks in all occurrences";
+  }
+  return "";
+}
+
 CallAnswer NotReady(std::string detail) {
   CallAnswer answer = Answer(CallOutcome::kNotReady, std::move(detail));
   answer.retry_after = kNotReadyRetry;
@@ -188,6 +211,12 @@
   auto write = std::make_shared<Write>();
   write->id = JobRowKey(record.id);
   write->value = EncodeJobRecord(record);
+  if (std::string obstacle = FindObstacle(record, write->value);
+      !obstacle.empty()) {
+    LOG(WARNING) << "job " << record.id << " cannot be run: " << obstacle;
+    done(Answer(CallOutcome::kBadRequest, std::move(obstacle)));
+    return;
+  }
   write->workspace = record.workspace;
   write->deadline = caller.deadline - kAnswerMargin;
   write->done = std::move(done);
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -5,6 +5,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
+#include "core/logging.h"
+
 namespace quetzalshelf::batch {
 
 namespace {
@@ -54,13 +57,17 @@
   const json body = json::parse(value, nullptr, false);
   if (!body.is_object())
     return std::nullopt;
-  const std::optional<JobPhase> phase = FindPhase(body.value("phase", ""));
-  if (!phase)
+  Findings findings;
+  JsonReader reader(body, "", findings);
+  const std::optional<JobPhase> phase =
+      FindPhase(reader.OptionalString("phase"));
+  const WorkspaceId workspace(reader.OptionalString("workspace"));
+  if (!phase || !findings.empty())
     return std::nullopt;
   const auto tasks = body.find("tasks");
   const bool over = IsFinalPhase(*phase) && tasks != body.end() &&
                     tasks->is_array() && tasks->empty();
-  return StateSummary{WorkspaceId(body.value("workspace", "")), *phase, over};
+  return StateSummary{workspace, *phase, over};
 }
 
 Job::Job(JobRecord record, TimePoint now, Duration age)
@@ -320,13 +327,18 @@
 
 bool Job::RestoreState(const std::string& value, TimePoint now) {
   const json body = json::parse(value, nullptr, false);
-  if (!body.is_object() || !body.contains("tasks"))
-    return false;
-  begun_ = body.value("begun", false);
-  if (const auto phase = FindPhase(body.value("phase", ""));
+  Findings findings;
+  JsonReader reader(body, "", findings);
+  begun_ = reader.OptionalBool("begun", false);
+  if (const auto phase = FindPhase(reader.OptionalString("phase"));
       phase && IsFinalPhase(*phase))
     final_phase_ = phase;
-  for (const json& row : body["tasks"]) {
+  const json& tasks = reader.RequireArray("tasks");
+  if (!findings.empty()) {
+    LOG(ERROR) << "state of job " << record_.id << ": " << findings.ToString();
+    return false;
+  }
+  for (const json& row : tasks) {
     if (!IsReadableTask(row))
       return false;
     const TaskId id{record_.id, row[kOccurrence].get<int>(),
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -1,10 +1,12 @@
 #include "servers/batch/leader_lease.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
 #include "core/logging.h"
 
 namespace quetzalshelf::batch {
@@ -14,6 +16,8 @@
 using nlohmann::json;
 
 constexpr Duration kCommitTimeout{800};
+constexpr int64_t kMaxEpoch = std::numeric_limits<int64_t>::max();
+constexpr size_t kMaxReportBytes = 65'536;
 // Pause after a failed heartbeat or a lost race.
 constexpr Duration kRetry{150};
 // Weight of the newest gap between heartbeats in their mean, as a divisor.
@@ -56,26 +60,10 @@
 
 void LeaderLease::OnRows(const std::vector<StoreRow>& rows, TimePoint now) {
   for (const StoreRow& it : rows) {
-    const json value = json::parse(it.value, nullptr, false);
-    if (!value.is_object()) {
-      LOG(WARNING) << "control row " << it.id.key << " cannot be read";
-      continue;
-    }
-    if (it.id == EpochRowKey() && it.version > epoch_row_.version) {
-      epoch_row_ = {Epoch(value.value("epoch", uint64_t{0})), it.version};
-      epoch_holder_ = IncarnationId(value.value("incarnation", ""));
-      epoch_node_ = NodeId(value.value("node", ""));
-      leader_share_ = value.value("cpu_share", 0.0);
-      released_ = false;
-      heartbeat_at_ = now;
-      heartbeat_gap_ = options_.heartbeat;
-    }
-    if (it.id == HeartbeatRowKey() && it.version > heartbeat_version_) {
-      heartbeat_version_ = it.version;
-      ObserveHeartbeat(now);
-      released_ = value.value("released", false);
-      report_ = value.value("report", "");
-    }
+    if (it.id == EpochRowKey() && it.version > epoch_row_.version)
+      OnEpochRow(it, now);
+    if (it.id == HeartbeatRowKey() && it.version > heartbeat_version_)
+      OnHeartbeatRow(it, now);
   }
   if (leading_ && epoch_row_.epoch > fencing_token_.epoch)
     StepDown("a newer epoch was written");
@@ -88,6 +76,48 @@
   }
 }
 
+void LeaderLease::OnEpochRow(const StoreRow& row, TimePoint now) {
+  Findings findings;
+  const std::optional<json> value = ParseJson(row.value, findings);
+  if (value) {
+    JsonReader reader(*value, row.id.key, findings);
+    const auto epoch =
+        static_cast<uint64_t>(reader.RequireInt("epoch", 0, kMaxEpoch));
+    const std::string incarnation = reader.RequireString("incarnation");
+    const std::string node = reader.RequireString("node");
+    const double cpu_share = reader.RequireDouble("cpu_share");
+    if (findings.empty()) {
+      epoch_row_.epoch = Epoch(epoch);
+      epoch_holder_ = IncarnationId(incarnation);
+      epoch_node_ = NodeId(node);
+      leader_share_ = cpu_share;
+    }
+  }
+  // The version is that of a take-over all the same: it fences former leaders.
+  epoch_row_.version = row.version;
+  released_ = false;
+  heartbeat_at_ = now;
+  heartbeat_gap_ = options_.heartbeat;
+  if (!findings.empty()) {
+    LOG(ERROR) << "epoch row cannot be read: " << findings.ToString();
+    StepDown("the epoch row cannot be read");
+  }
+}
+
+void LeaderLease::OnHeartbeatRow(const StoreRow& row, TimePoint now) {
+  heartbeat_version_ = row.version;
+  ObserveHeartbeat(now);
+  Findings findings;
+  const std::optional<json> value = ParseJson(row.value, findings);
+  if (value) {
+    JsonReader reader(*value, row.id.key, findings);
+    released_ = reader.OptionalBool("released", false);
+    report_ = reader.OptionalString("report", "", kMaxReportBytes);
+  }
+  if (!findings.empty())
+    LOG(WARNING) << "heartbeat cannot be read: " << findings.ToString();
+}
+
 void LeaderLease::Tick(TimePoint now,
                        TimePoint answering_since,
                        TimePoint answered_at) {
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -92,6 +92,8 @@
   TimePoint report_at() const { return heartbeat_at_; }
 
  private:
+  void OnEpochRow(const StoreRow& row, TimePoint now);
+  void OnHeartbeatRow(const StoreRow& row, TimePoint now);
   void Acquire(TimePoint now);
   void SendHeartbeat(TimePoint now);
   void Lead(const FencingToken& fencing_token);
--- a/servers/batch/load_report.cc
+++ b/servers/batch/load_report.cc
@@ -1,13 +1,22 @@
 #include "servers/batch/load_report.h"
 
+#include <limits>
+
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
 #include "core/logging.h"
 
 namespace quetzalshelf::batch {
 
 using nlohmann::json;
 
+namespace {
+
+constexpr int64_t kMaxCount = std::numeric_limits<int32_t>::max();
+
+}  // namespace
+
 std::string EncodeLoadReport(const LoadReport& report) {
   json queues = json::object();
   for (const auto& [name, load] : report.queues) {
@@ -26,11 +35,15 @@
     LOG(WARNING) << "load report cannot be read and counts as empty";
     return report;
   }
+  Findings findings;
   for (const auto& [name, load] : queues.items()) {
+    JsonReader reader(load, name, findings);
     QueueLoad& queue = report.queues[QueueName(name)];
-    queue.pending = load.value("pending", int64_t{0});
-    queue.wait = Duration(load.value("wait_ms", int64_t{0}));
+    queue.pending = reader.OptionalInt("pending", 0, kMaxCount, 0);
+    queue.wait = Duration(reader.OptionalInt("wait_ms", 0, kMaxCount, 0));
   }
+  if (!findings.empty())
+    LOG(WARNING) << "load report has bad fields: " << findings.ToString();
   return report;
 }
 
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -153,7 +153,7 @@
     if (!store.faults().refuse)
       site.Confirm(runner.Now());
     for (Node& it : nodes) {
-      if (it.lease)
+      if (it.lease && !it.paused)
         TickNode(it);
     }
     runner.Advance(kStep);
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -37,6 +37,7 @@
     std::unique_ptr<Dispatcher> dispatcher;
     Epoch epoch;
     bool deposed = false;
+    bool paused = false;  // Gets no turns; answers still reach it.
   };
 
   void AddNode(const std::string& name);
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -169,6 +169,125 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against giving up the work of a worker that is only silent, unlisted
+// or slow to answer for a while.
+TEST_CASE("Tasks of a worker that is silent for a while run on") {
+  LeaderFixture fixture;
+  fixture.run_time = Duration(8'000);
+  fixture.Submit(kJob, MakeJob(4, 8, true), "/holds/");
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.workers.running() == 4);
+  const std::vector<WorkerEntry> all = fixture.listed;
+  SUBCASE("silent") {
+    for (const WorkerEntry& it : all)
+      fixture.workers.faults(it.id).silent = true;
+  }
+  SUBCASE("unlisted, as after an outage of the store") {
+    fixture.listed.clear();
+  }
+  SUBCASE("silent and unlisted") {
+    for (const WorkerEntry& it : all)
+      fixture.workers.faults(it.id).silent = true;
+    fixture.listed.clear();
+  }
+  fixture.Run(Duration(3'000));
+  for (const WorkerEntry& it : all)
+    fixture.workers.faults(it.id).silent = false;
+  fixture.listed = all;
+  CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  for (int n = 0; n < 4; ++n)
+    CHECK(fixture.workers.starts(Task(kJob, n)) == 1);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against a process that acts after a pause on a permission that has run
+// out meanwhile.
+TEST_CASE("A leader that was paused starts nothing that its successor runs") {
+  LeaderFixture fixture;
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.Leader() == 0);
+  fixture.run_time = Duration(4'000);
+  // The pause begins at any moment between the acceptance and the start.
+  for (int delay = 0; delay <= 60; delay += 10) {
+    CAPTURE(delay);
+    const int leader = fixture.Leader();
+    REQUIRE(leader >= 0);
+    const std::string id = "00000000000000" + std::to_string(10 + delay);
+    fixture.Submit(id, MakeJob(4, 8, true), "/holds/");
+    fixture.Run(Duration(delay));
+    fixture.nodes[static_cast<size_t>(leader)].paused = true;
+    fixture.Run(Duration(3'000));
+    fixture.nodes[static_cast<size_t>(leader)].paused = false;
+    CHECK(fixture.RunUntilFinal(id, kLong) == JobPhase::kComplete);
+    for (int n = 0; n < 4; ++n)
+      CHECK(fixture.workers.starts(Task(id, n)) == 1);
+  }
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against a successor that learns of workers from its predecessor, and
+// starts work on one that has left.
+TEST_CASE("A new leader does not use a worker that has left") {
+  LeaderFixture fixture(2, 2);
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'000));
+  const WorkerId gone = fixture.listed.front().id;
+  fixture.listed.erase(fixture.listed.begin());
+  fixture.Kill(0);
+  fixture.Submit(kJob, MakeJob(4, 8, false), "/holds/");
+  fixture.run_time = Duration(20'000);
+  fixture.Run(Duration(4'000));
+  CHECK(fixture.workers.running() == 3);
+  for (int n = 0; n < 4; ++n)
+    CHECK(fixture.workers.HolderOf(Task(kJob, n)) != gone);
+}
+
+// Guards against decisions that depend on the time of day, which may jump by
+// seconds and differ between VMs.
+TEST_CASE("A jump of the time of day neither delays nor repeats a job") {
+  LeaderFixture fixture;
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'000));
+  Duration jump{0};
+  SUBCASE("ahead") {
+    jump = Duration(9'000);
+  }
+  SUBCASE("back") {
+    jump = Duration(-9'000);
+  }
+  fixture.Submit(kJob, MakeJob(2, 8, true), "/holds/");
+  fixture.runner.StepWallClock(jump);
+  fixture.Run(Duration(200));
+  CHECK(fixture.workers.running() == 2);
+  fixture.Kill(static_cast<size_t>(fixture.Leader()));
+  fixture.Submit(kOtherJob, MakeJob(2, 8, true), "/holds/");
+  fixture.runner.StepWallClock(-jump);
+  fixture.Run(Duration(2'000));
+  CHECK(fixture.workers.first_start(Task(kOtherJob, 0)) != TimePoint());
+  CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+  CHECK(fixture.RunUntilFinal(kOtherJob, kLong) == JobPhase::kComplete);
+  for (int n = 0; n < 2; ++n)
+    CHECK(fixture.workers.starts(Task(kJob, n)) == 1);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against new empty workers that stay idle while queued jobs wait for
+// the old ones.
+TEST_CASE("Queued tasks start on new workers as soon as they join") {
+  LeaderFixture fixture(1, 2);
+  fixture.run_time = Duration(30'000);
+  fixture.Submit(kJob, MakeJob(6, 8, false), "/holds/");
+  fixture.Run(Duration(2'000));
+  REQUIRE(fixture.workers.running() == 2);
+  for (int n = 0; n < 4; ++n) {
+    fixture.listed.push_back(MakeWorker("x" + std::to_string(n), "r1-7"));
+    fixture.workers.Add(fixture.listed.back());
+  }
+  fixture.Run(Duration(200));
+  CHECK(fixture.workers.running() == 6);
+}
+
 // Guards against a new leader that keeps runs from the store forever, because
 // their worker is not listed and cannot be synced.
 TEST_CASE("Recovered runs on workers that are gone are started again") {
--- a/tests/batch/election_and_frontend_test.cc
+++ b/tests/batch/election_and_frontend_test.cc
@@ -86,6 +86,60 @@
   CHECK(fixture.Leader() == 2);
 }
 
+// Guards against a process that ends because of one row of another writer, and
+// then again at each start.
+TEST_CASE("Control rows with wrong types end neither node nor election") {
+  BatchFixture fixture;
+  fixture.AddNode("n1");
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'000));
+  SUBCASE("epoch row") {
+    fixture.store.Put(EpochRowKey(), R"({"epoch":"seven","node":3})");
+  }
+  SUBCASE("epoch row without structure") {
+    fixture.store.Put(EpochRowKey(), "[1,");
+  }
+  SUBCASE("heartbeat row") {
+    fixture.store.Put(HeartbeatRowKey(), R"({"released":"no","report":[1]})");
+  }
+  fixture.Run(Duration(4'000));
+  CHECK(CountLeaders(fixture) == 1);
+  fixture.Submit(kJob, MakeJob(1, 1, false));
+  CHECK(fixture.RunUntilFinal(kJob, Duration(30'000)) == JobPhase::kComplete);
+}
+
+TEST_CASE("A load report with wrong types counts as empty") {
+  LoadView load;
+  load.Update(R"({"plans":{"pending":"many","wait_ms":null},"holds":4})");
+  CHECK(load.Find(QueueName("plans")).pending == 0);
+  CHECK(load.Find(QueueName("holds")).pending == 0);
+}
+
+// Guards against a job that is accepted although the leader can never run it.
+TEST_CASE("Jobs that could never run are rejected at once") {
+  BatchFixture fixture;
+  JobSpec spec = MakeJob(1, 1, false);
+  SUBCASE("negative estimate") {
+    spec.steps[0].estimate = Duration(-5);
+  }
+  SUBCASE("estimate beyond the range of a row") {
+    spec.steps[0].estimate = Duration(int64_t{1} << 50);
+  }
+  SUBCASE("more tasks than a state row holds") {
+    spec.steps[0].tasks = 5'000;
+  }
+  SUBCASE("more occurrences than the leader keeps") {
+    spec.recurrence.occurrences = 90'000;
+  }
+  SUBCASE("payload beyond the limit") {
+    spec.payload = std::string(70'000, 'x');
+  }
+  const CallAnswer answer = fixture.Submit(kJob, spec);
+  CHECK(answer.outcome == CallOutcome::kBadRequest);
+  CHECK_FALSE(answer.detail.empty());
+  CHECK_FALSE(fixture.store.Find(JobRowKey(JobId(kJob))));
+}
+
 TEST_CASE("A job sent again is one job") {
   BatchFixture fixture;
   CHECK(fixture.Submit(kJob, MakeJob(1, 1, false)).outcome ==
--- a/tests/batch/job_state_test.cc
+++ b/tests/batch/job_state_test.cc
@@ -143,6 +143,23 @@
   CHECK(restored.IsFinal());
 }
 
+// Guards against an exception for a field of another type.
+TEST_CASE("A state row with wrong types is refused") {
+  for (const char* row :
+       {R"({"phase":7,"workspace":"plaza","tasks":[]})",
+        R"({"phase":"running","workspace":["plaza"],"tasks":[]})"}) {
+    CAPTURE(row);
+    CHECK_FALSE(DecodeStateSummary(row));
+  }
+  Job job = MakeGangJob(2);
+  for (const char* row :
+       {R"({"phase":7,"tasks":[]})", R"({"phase":"running","tasks":{"a":1}})",
+        R"({"begun":"yes","tasks":[]})"}) {
+    CAPTURE(row);
+    CHECK_FALSE(job.RestoreState(row, FromMillis(20'000)));
+  }
+}
+
 TEST_CASE("An unreadable row is refused") {
   Job job = MakeGangJob(1);
   CHECK_FALSE(job.RestoreState("", FromMillis(0)));
