--- a/main/ctl/command_line.cc
+++ b/main/ctl/command_line.cc
@@ -9,6 +9,7 @@
 #include "main/ctl/cluster_commands.h"
 #include "main/ctl/completion.h"
 #include "main/ctl/job_commands.h"
+#include "main/ctl/job_log.h"
 #include "main/ctl/settings_commands.h"
 
 namespace quetzalshelf::ctl {
@@ -262,6 +263,12 @@
           return JobResult(context, id, file_);
         })
         ->add_option("--file", file_, "File to write the result to");
+    add("logs", "Explain a job of the users' platform from the nodes' logs",
+        [this](Context& context, const std::string& id) {
+          return JobLogs(context, id, file_);
+        })
+        ->add_option("--file", file_, "The log lines of all nodes")
+        ->required();
   }
 
   void AddSubmit(CLI::App* app) {
