Keep preempted work out of the way of a burst of urgent work

Long gangs and tasks that were preempted started again in the next free room within half a second, at 0 percent, and were the cheapest victims again: up to 16 attempts of one gang, while each urgent job waited for another stop. Urgent jobs that were late already stopped up to 13,000 core-seconds of others.

Ruled out: awaited runs (they cost nothing); guaranteed jobs (a third of the loss).

Change: work waits 1 s before it starts again after a preemption, twice as long after each further one in a row, 6 s at most. A job that misses its objective even if it starts now may stop a fifth of what an urgent job may, unless it is guaranteed and its time has come.

The test of a burst failed first: none of eight urgent gangs found room at once, the long gang was started nine times.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -186,6 +186,8 @@
                                                      bool allow_spread,
                                                      PassState& pass);
   bool TryStartReserved(PlacementUnit& unit, PassState& pass);
+  // Stops a run, or a gang, for urgent work.
+  void Preempt(Job& job, const TaskId& id, TimePoint now);
   bool TryReclaim(PlacementUnit& unit, const Demand& demand, PassState& pass);
   void Assign(PlacementUnit& unit, const Placement& placement, PassState& pass);
 
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -44,6 +44,8 @@
 // workers that have succeeded since the burst began. A burst passes within
 // seconds, whereas a failed job is lost.
 constexpr Duration kLastAttemptMaxWait{8'000};
+// Preemptions that are further apart are not in a row.
+constexpr Duration kPreemptionMemory{10'000};
 // Occurrences start this long after they are due, since the clocks of VMs
 // differ slightly.
 constexpr int64_t kDueMarginMs = 30;
@@ -486,8 +488,9 @@
       unit.guaranteed || !FitsSomeRack(candidates, demand);
   const auto plan = PlanReclaim(candidates, groups, demand, allow_spread);
   const Duration waited = pass.now - unit.job->accepted_at();
-  if (!plan || !IsReclaimWorthwhile(*plan, StepWork(*unit.spec),
-                                    unit.guaranteed, waited))
+  if (!plan ||
+      !IsReclaimWorthwhile(
+          *plan, {StepWork(*unit.spec), unit.guaranteed, unit.late, waited}))
     return false;
   reclaims_.Add();
   LOG(INFO) << "step " << ToString(unit.id)
@@ -504,7 +507,7 @@
     if (awaited[n])
       unit.step->reserved_until = pass.now + max_wait + kEndTolerance;
     else
-      StopRun(*victim.job, victim.id, pass.now, "preempted by urgent work");
+      Preempt(*victim.job, victim.id, pass.now);
     pass.groups[n].members.clear();
   }
   unit.step->reserved.clear();
@@ -517,6 +520,18 @@
   return true;
 }
 
+void Dispatcher::Preempt(Job& job, const TaskId& id, TimePoint now) {
+  StepProgress& step = *job.FindStep(id);
+  if (now - step.preempted_at > kPreemptionMemory)
+    step.preemptions = 0;
+  // Several tasks of a step that are stopped together count once.
+  if (step.preemptions == 0 || step.preempted_at != now)
+    ++step.preemptions;
+  step.preempted_at = now;
+  step.retry_at = std::max(step.retry_at, now + RestartDelay(step.preemptions));
+  StopRun(job, id, now, "preempted by urgent work");
+}
+
 void Dispatcher::Assign(PlacementUnit& unit,
                         const Placement& placement,
                         PassState& pass) {
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -72,7 +72,9 @@
   // Workers reserved for this gang while their runs are stopped, one per task.
   std::vector<WorkerId> reserved;
   TimePoint reserved_until;
-  TimePoint reclaim_at;        // Earliest time of the next reclaim.
+  TimePoint reclaim_at;  // Earliest time of the next reclaim.
+  int preemptions = 0;   // In a row, up to the last one.
+  TimePoint preempted_at;
   TimePoint next_speed_check;  // Of a gang, at the progress of its members.
 };
 
--- a/servers/batch/victims.cc
+++ b/servers/batch/victims.cc
@@ -17,6 +17,11 @@
 // its value, while stopped work has to be done again.
 constexpr double kBaseAllowance = 600;
 constexpr double kAllowancePerWork = 2.5;
+// Part of this allowance for a job that is late anyway: most of its value is
+// lost already, and in an overload its victims would become late as well.
+constexpr double kLateAllowance = 0.2;
+constexpr Duration kFirstRestartDelay{1'000};
+constexpr Duration kLongestRestartDelay{6'000};
 
 // Greedy search within one set of candidates: task by task, takes the worker
 // where making room for one more task costs least.
@@ -167,13 +172,18 @@
   return best;
 }
 
-bool IsReclaimWorthwhile(const ReclaimPlan& plan,
-                         double job_size,
-                         bool guaranteed,
-                         Duration waited) {
-  if (guaranteed && waited >= kGuaranteedPatience)
+Duration RestartDelay(int preemptions) {
+  Duration delay = kFirstRestartDelay;
+  for (int n = 1; n < preemptions; ++n)
+    delay = std::min(delay * 2, kLongestRestartDelay);
+  return delay;
+}
+
+bool IsReclaimWorthwhile(const ReclaimPlan& plan, const ReclaimClaim& claim) {
+  if (claim.guaranteed && claim.waited >= kGuaranteedPatience)
     return true;
-  return plan.lost_work <= kBaseAllowance + kAllowancePerWork * job_size;
+  const double allowance = kBaseAllowance + kAllowancePerWork * claim.job_size;
+  return plan.lost_work <= (claim.late ? kLateAllowance : 1) * allowance;
 }
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/victims.h
+++ b/servers/batch/victims.h
@@ -41,13 +41,22 @@
                                        const Demand& demand,
                                        bool allow_spread);
 
-// Whether an urgent job gains more by starting now than is thrown away.
-// `job_size` is the work of the job in core-seconds; `waited` is the time since
-// its acceptance.
-bool IsReclaimWorthwhile(const ReclaimPlan& plan,
-                         double job_size,
-                         bool guaranteed,
-                         Duration waited);
+// Time that work waits before it starts again after its n-th preemption in a
+// row. Answers a burst of urgent work that lasts: work that starts at once in
+// the next free room is stopped again, while urgent work has to wait for each
+// of these stops.
+Duration RestartDelay(int preemptions);
+
+// An urgent job that would start in the place of others.
+struct ReclaimClaim {
+  double job_size = 0;  // Its work in core-seconds.
+  bool guaranteed = false;
+  bool late = false;   // It misses its objective even if it starts now.
+  Duration waited{0};  // Since its acceptance.
+};
+
+// Whether the job gains more by starting now than is thrown away.
+bool IsReclaimWorthwhile(const ReclaimPlan& plan, const ReclaimClaim& claim);
 
 }  // namespace quetzalshelf::batch
 
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -150,11 +150,38 @@
 TEST_CASE("A reclaim must be worth the work that is lost") {
   ReclaimPlan plan;
   plan.lost_work = 5'000;
-  CHECK_FALSE(IsReclaimWorthwhile(plan, 100, false, Duration(0)));
-  CHECK_FALSE(IsReclaimWorthwhile(plan, 100, true, Duration(0)));
-  CHECK(IsReclaimWorthwhile(plan, 5'000, false, Duration(0)));
+  const Duration patience(1'500);
+  CHECK_FALSE(IsReclaimWorthwhile(plan, {.job_size = 100}));
+  CHECK_FALSE(IsReclaimWorthwhile(plan, {.job_size = 100, .guaranteed = true}));
+  CHECK(IsReclaimWorthwhile(plan, {.job_size = 5'000}));
   // A guarantee holds in any case, in time.
-  CHECK(IsReclaimWorthwhile(plan, 100, true, Duration(1'500)));
+  CHECK(IsReclaimWorthwhile(
+      plan, {.job_size = 100, .guaranteed = true, .waited = patience}));
+  CHECK(IsReclaimWorthwhile(
+      plan,
+      {.job_size = 100, .guaranteed = true, .late = true, .waited = patience}));
+}
+
+// Load: an overload in which urgent jobs are late. Each of them would make
+// others late as well, whose work is stopped and has to be done again.
+TEST_CASE("A job that is late anyway stops little work of others") {
+  ReclaimPlan plan;
+  plan.lost_work = 5'000;
+  CHECK(IsReclaimWorthwhile(plan, {.job_size = 4'000}));
+  CHECK_FALSE(IsReclaimWorthwhile(plan, {.job_size = 4'000, .late = true}));
+  plan.lost_work = 500;
+  CHECK(IsReclaimWorthwhile(plan, {.job_size = 4'000, .late = true}));
+}
+
+TEST_CASE("Each preemption in a row doubles the wait, up to a limit") {
+  Duration last(0);
+  for (int n = 1; n <= 10; ++n) {
+    const Duration delay = RestartDelay(n);
+    CHECK(delay >= last);
+    CHECK(delay <= Duration(6'000));
+    last = delay;
+  }
+  CHECK(RestartDelay(2) == 2 * RestartDelay(1));
 }
 
 // Load: single-accelerator tasks arrive faster than they end while gangs of
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -514,6 +514,35 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Load: urgent gangs that fill the only rack come one after the other, with
+// gaps in which a long gang finds room. Guards against starting it in each gap,
+// only to stop it again while the next urgent gang waits.
+TEST_CASE("A preempted gang stays out of the way of a burst of urgent work") {
+  LeaderFixture fixture(1, 4);
+  fixture.run_time = Duration(20'000);
+  fixture.Submit(kJob, MakeJob(4, 8, true));
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.workers.IsRunning(Task(kJob, 0)));
+  fixture.run_time = Duration(500);
+  int at_once = 0;
+  std::vector<std::string> urgent;
+  for (int n = 0; n < 8; ++n) {
+    urgent.push_back("00000000000000b" + std::to_string(n));
+    fixture.Submit(urgent.back(), MakeJob(4, 8, true), "/holds/");
+    fixture.Run(Duration(200));
+    const bool started =
+        fixture.workers.first_start(Task(urgent.back(), 0)) != TimePoint();
+    at_once += started ? 1 : 0;
+    fixture.Run(Duration(700));
+  }
+  // The first one stops the long gang; few later ones find it again.
+  CHECK(at_once >= 5);
+  CHECK(fixture.workers.starts(Task(kJob, 0)) <= 3);
+  for (const std::string& it : urgent)
+    CHECK(fixture.RunUntilFinal(it, kLong) == JobPhase::kComplete);
+  CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+}
+
 // Guards against starts in a failure domain that is out of service.
 TEST_CASE("No task starts in an evacuated failure domain") {
   LeaderFixture fixture;
