Serve soon after an outage of the store, and keep tasks over a hand-over

After a store that was silent from 18.0 to 22.2 s the leader wrote its states again only at 25.3 s: two writes without an answer held both slots of the writer until their time-outs, which had grown to 3 s. Half of the nodes refused calls until 23.0 s, since a read without an answer was waited for; submissions and status calls hung likewise. 2. A leader that was stopped at 30.90 s was deposed at 30.95 s, and the store refused all calls from 31.0 s on, before its successor had read the states. Nobody renewed the leases, and 262 runs ended with them.

Ruled out: the process that was still there at the end of its grace (alajuela-12 got SIGTERM 2.3 s before the closing kill of all processes, which it did not outlive); the election (48 ms after the resignation); the bound of 8 s on leases without the store.

Change: a write of states that the store, answering again, does not show is sent again, also while its first copy is under way; only a store that answers counts as slow. Reads of tables, submissions and status calls are repeated beside a copy without an answer. A former leader renews leases until workers know its successor, for 8 s at most, and a node that stops waits for that within its grace. The class Leadership holds what entry nodes and the tests did twice.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -59,14 +59,6 @@
 
 }  // namespace
 
-struct EntryNode::Leadership {
-  std::unique_ptr<batch::Dispatcher> dispatcher;
-  std::unique_ptr<platform::WorkerWatch> worker_watch;
-  Epoch epoch;
-  bool deposed = false;
-  std::string reason;
-};
-
 EntryNode::EntryNode(asio::io_context& io,
                      const platform::EntrySettings& settings,
                      uint64_t seed)
@@ -135,11 +127,12 @@
                         else
                           HandleMetrics(reply);
                       }),
-      timer_(io) {
+      timer_(io),
+      leadership_(store_, workers_, clock_, site_, metrics_, lease_, seed) {
   lease_.set_report_source([this] {
-    return leadership_
-               ? batch::EncodeLoadReport(leadership_->dispatcher->Report())
-               : std::string();
+    const batch::Dispatcher* const dispatcher = leadership_.dispatcher();
+    return dispatcher ? batch::EncodeLoadReport(dispatcher->Report())
+                      : std::string();
   });
 }
 
@@ -164,14 +157,12 @@
   stopped_ = std::move(done);
   stop_began_ = clock_.Now();
   caller_server_.BeginDrain(kStopLinger);
-  if (leadership_)
-    leadership_->dispatcher->Retire();
-  lease_.Release(stop_began_);
+  leadership_.Resign(stop_began_);
 }
 
 void EntryNode::OnUnexpectedError() {
-  leadership_.reset();
-  lease_.StepDown("an unexpected error");
+  worker_watch_.reset();
+  leadership_.Abandon("an unexpected error");
 }
 
 void EntryNode::ArmTimer() {
@@ -198,37 +189,21 @@
 }
 
 void EntryNode::TickLeadership(TimePoint now) {
-  if (leadership_ && leadership_->deposed) {
-    lease_.StepDown(leadership_->reason);
-    leadership_.reset();
-  }
-  // A leader that is stopping goes on renewing leases until it is deposed.
-  if (leadership_ && !stopped_ &&
-      (!lease_.is_leader() ||
-       lease_.fencing_token().epoch != leadership_->epoch))
-    leadership_.reset();
-  if (!leadership_ && lease_.is_leader()) {
-    leadership_ = std::make_unique<Leadership>();
-    Leadership* const leadership = leadership_.get();
-    leadership->epoch = lease_.fencing_token().epoch;
-    leadership->dispatcher = std::make_unique<batch::Dispatcher>(
-        store_, workers_, clock_, site_, metrics_, lease_.fencing_token(),
-        [leadership](const std::string& reason) {
-          leadership->deposed = true;
-          leadership->reason = reason;
-        },
-        [this] { return lease_.TakeHeartbeat(clock_.Now()); },
-        seed_ + leadership->epoch.value());
-    leadership->worker_watch = std::make_unique<platform::WorkerWatch>(
-        store_, clock_, *this, seed_ + 3);
+  leadership_.Update(now);
+  batch::Dispatcher* const dispatcher = leadership_.dispatcher();
+  if (!dispatcher) {
+    worker_watch_.reset();
+  } else {
+    // Each dispatcher reads the list of workers anew.
+    if (!worker_watch_ || watched_epoch_ != leadership_.epoch()) {
+      watched_epoch_ = leadership_.epoch();
+      worker_watch_ = std::make_unique<platform::WorkerWatch>(store_, clock_,
+                                                              *this, seed_ + 3);
+    }
+    worker_watch_->Tick(now);
+    dispatcher->ConfirmWorkers(worker_watch_->confirmed_at());
   }
-  if (!leadership_)
-    return;
-  leadership_->worker_watch->Tick(now);
-  leadership_->dispatcher->ConfirmWorkers(
-      leadership_->worker_watch->confirmed_at());
-  leadership_->dispatcher->ConfirmLeadership(lease_.confirmed_at());
-  leadership_->dispatcher->Tick(now);
+  leadership_.Tick(now);
 }
 
 void EntryNode::TickStop(TimePoint now) {
@@ -236,7 +211,8 @@
   const bool idle = caller_server_.requests_in_flight() == 0 &&
                     caller_server_.connections() == 0;
   const bool over = waited >= settings_.stop_grace - kStopMargin;
-  if (!over && (!idle || waited < kStopLinger))
+  const bool needed = !idle || leadership_.KeepsLeases(now);
+  if (!over && (needed || waited < kStopLinger))
     return;
   LOG(INFO) << "node stopped: after_ms=" << waited.count()
             << " in_flight=" << caller_server_.requests_in_flight();
@@ -264,7 +240,8 @@
       {"node", settings_.node.value()},
       {"failure_domain", settings_.domain.value()},
       {"stopping", static_cast<bool>(stopped_)},
-      {"leader_epoch", leadership_ ? leadership_->epoch.value() : 0},
+      {"leader_epoch",
+       leadership_.dispatcher() ? leadership_.epoch().value() : 0},
       {"config_version", config ? config->version : 0},
       {"config_age_ms", (now - site_.confirmed_at()).count()},
       {"load", nlohmann::json::parse(lease_.report(), nullptr, false)},
@@ -275,18 +252,18 @@
 }
 
 void EntryNode::OnWorkers(const std::vector<batch::WorkerEntry>& entries) {
-  if (leadership_)
-    leadership_->dispatcher->OnWorkers(entries, clock_.Now());
+  if (batch::Dispatcher* const it = leadership_.dispatcher())
+    it->OnWorkers(entries, clock_.Now());
 }
 
 void EntryNode::OnWorker(const batch::WorkerEntry& entry) {
-  if (leadership_)
-    leadership_->dispatcher->OnWorker(entry, clock_.Now());
+  if (batch::Dispatcher* const it = leadership_.dispatcher())
+    it->OnWorker(entry, clock_.Now());
 }
 
 void EntryNode::OnWorkerUnlisted(const WorkerId& id) {
-  if (leadership_)
-    leadership_->dispatcher->OnWorkerUnlisted(id);
+  if (batch::Dispatcher* const it = leadership_.dispatcher())
+    it->OnWorkerUnlisted(id);
 }
 
 }  // namespace quetzalshelf
--- a/main/daemon/entry_node.h
+++ b/main/daemon/entry_node.h
@@ -26,6 +26,7 @@
 #include "servers/batch/dispatcher.h"
 #include "servers/batch/job_frontend.h"
 #include "servers/batch/leader_lease.h"
+#include "servers/batch/leadership.h"
 #include "servers/batch/load_report.h"
 #include "servers/batch/site_view.h"
 #include "servers/batch/table_follower.h"
@@ -48,9 +49,6 @@
   void OnUnexpectedError();
 
  private:
-  // What only the leader has.
-  struct Leadership;
-
   void OnTick();
   void TickStop(TimePoint now);
   void TickLeadership(TimePoint now);
@@ -84,7 +82,10 @@
   EventHttpServer readiness_server_;
   EventHttpServer metrics_server_;
   asio::steady_timer timer_;
-  std::unique_ptr<Leadership> leadership_;
+  batch::Leadership leadership_;
+  // Of the leader; null on other nodes.
+  std::unique_ptr<platform::WorkerWatch> worker_watch_;
+  Epoch watched_epoch_;  // In which the list of workers was first read.
   std::function<void()> stopped_;
   TimePoint stop_began_;
 };
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -382,6 +382,32 @@
   on_deposed_(reason);
 }
 
+void Dispatcher::OnFencedByWorker() {
+  fenced_by_worker_ = true;
+  Depose("a worker knows a newer epoch");
+}
+
+bool Dispatcher::HasRuns() const {
+  return std::ranges::any_of(registry_.workers(),
+                             [](const auto& it) { return it.second.runs > 0; });
+}
+
+std::unique_ptr<LeaseHandover> Dispatcher::HandOverLeases(TimePoint now) const {
+  std::vector<Worker> workers;
+  for (const auto& [id, worker] : registry_.workers()) {
+    if (worker.runs > 0 && worker.has_clock && worker.entry.port != 0)
+      workers.push_back(worker);
+  }
+  if (fenced_by_worker_ || workers.empty() || MaxLease(now) <= Duration(0))
+    return nullptr;
+  LOG(INFO) << "leases are renewed until the next leader gives orders: epoch="
+            << fencing_token_.epoch << " workers=" << workers.size()
+            << " for_ms=" << MaxLease(now).count();
+  return std::make_unique<LeaseHandover>(port_, clock_, fencing_token_.epoch,
+                                         std::move(workers),
+                                         now + MaxLease(now));
+}
+
 LoadReport Dispatcher::Report() const {
   LoadReport report;
   for (const JobId& id : live_) {
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -22,6 +22,7 @@
 #include "core/time.h"
 #include "servers/batch/contact_queue.h"
 #include "servers/batch/job_state.h"
+#include "servers/batch/lease_handover.h"
 #include "servers/batch/load_report.h"
 #include "servers/batch/placement.h"
 #include "servers/batch/site_view.h"
@@ -65,6 +66,11 @@
   // Stops starting tasks but keeps renewing leases until a successor gives
   // orders.
   void Retire() { retired_ = true; }
+  // Whether tasks run, or have been ordered to start.
+  bool HasRuns() const;
+  // Hands over the leases of running tasks when the node leads no longer. Null
+  // when none runs or the successor gives orders already.
+  std::unique_ptr<LeaseHandover> HandOverLeases(TimePoint now) const;
 
   LoadReport Report() const;
 
@@ -93,6 +99,8 @@
   Duration MaxLease(TimePoint now) const;
   Duration PassSpacing();
   void Depose(const std::string& reason);
+  // A worker refused an order in favour of a newer epoch.
+  void OnFencedByWorker();
   Job* FindJob(const JobId& id);
   void RetireFinishedJobs();
   void ForgetOldJobs(TimePoint now);
@@ -223,6 +231,7 @@
   bool workers_read_ = false;
   bool retired_ = false;
   bool deposed_ = false;
+  bool fenced_by_worker_ = false;
   // Sequence number that orders syncs and confirmations within one clock tick.
   uint64_t last_event_ = 0;
   std::set<TaskId> due_runs_;           // Tasks whose next order is due.
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -179,7 +179,7 @@
     return;
   }
   if (reply->result == OrderResult::kFenced) {
-    Depose("a worker knows a newer epoch");
+    OnFencedByWorker();
     return;
   }
   if (run->phase != RunPhase::kStarting)
@@ -334,7 +334,7 @@
   if (reply.ok() && reply->clock_ms)
     worker.ObserveClock(*reply->clock_ms, now);
   if (reply.ok() && reply->result == OrderResult::kFenced) {
-    Depose("a worker knows a newer epoch");
+    OnFencedByWorker();
     return;
   }
   Run* const run = FindRun(id, attempt, worker_id);
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -100,7 +100,7 @@
     return;
   }
   if (reply->result == OrderResult::kFenced) {
-    Depose("a worker knows a newer epoch");
+    OnFencedByWorker();
     return;
   }
   const bool news = !worker.synced || worker.sync_failures > 0;
--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -21,11 +21,17 @@
 constexpr size_t kJobPartitions = 8;
 // Follows the id of a job in the key of the row that cancels it.
 constexpr std::string_view kCancelSuffix = "/cancel";
-// Bounds of the timeout of one write attempt. They are long because a job whose
-// answer is lost runs anyway, and retries lengthen the queue of a slow store.
-constexpr Duration kShortestCommitTimeout{1'300};
-constexpr Duration kLongestCommitTimeout{2'500};
+// Time-out of one copy of a write. It is long because a job whose answer is
+// lost runs anyway.
+constexpr Duration kCommitTimeout{2'500};
+// A write without an answer is sent again beside the first copy, since a silent
+// store may answer again meanwhile. Later if the store is slow: copies lengthen
+// its queue.
+constexpr Duration kRepeatWriteAfter{300};
+constexpr int kRepeatWriteFactor = 4;
+constexpr int kMaxWriteCopies = 5;
 constexpr Duration kReadTimeout{900};
+constexpr Duration kRepeatReadAfter{250};
 // States are written shortly after the ends of runs that change them, and
 // callers often ask only once, right after the last end. A state that is not
 // final is therefore read again after these delays.
@@ -83,16 +89,28 @@
 
 }  // namespace
 
-// A row that is written at most once over all retries.
+// A row that is written at most once, however many copies are sent.
 struct JobFrontend::Write {
   StoreKey id;
   std::string value;
   WorkspaceId workspace;
   TimePoint deadline;
   bool maybe_written = false;
+  int copies = 0;
+  int in_flight = 0;
+  bool answered = false;
   Callback done;
 };
 
+// A read that is repeated while it has no answer. The first answer counts.
+struct JobFrontend::RepeatedRead {
+  ReadRange range;
+  TimePoint deadline;
+  int in_flight = 0;
+  bool answered = false;
+  VersionedStore::ReadCallback done;
+};
+
 const char* ToString(JobPhase phase) {
   switch (phase) {
     case JobPhase::kQueued:
@@ -225,40 +243,59 @@
 
 void JobFrontend::Commit(const std::shared_ptr<Write>& write) {
   const TimePoint now = clock_.Now();
-  const Duration timeout = std::min(
-      write_time_.Timeout(kShortestCommitTimeout, kLongestCommitTimeout),
-      Duration(write->deadline - now));
+  const Duration timeout =
+      std::min(kCommitTimeout, Duration(write->deadline - now));
   if (timeout.count() <= 0) {
-    write->done(write->maybe_written ? Answer(CallOutcome::kOutcomeUnknown)
-                                     : NotReady("no time left to record it"));
+    if (write->in_flight == 0)
+      Finish(write, write->maybe_written
+                        ? Answer(CallOutcome::kOutcomeUnknown)
+                        : NotReady("no time left to record it"));
     return;
   }
+  ++write->copies;
+  ++write->in_flight;
   StoreTransaction transaction;
   transaction.conditions = {{write->id, RowVersion(0)}};
   transaction.writes = {{write->id, write->value}};
-  store_.Commit(
-      transaction, timeout,
-      [this, write, now, timeout](const absl::StatusOr<CommitOutcome>& result) {
-        if (result.ok())
-          write_time_.Observe(clock_.Now() - now);
-        else if (absl::IsDeadlineExceeded(result.status()))
-          write_time_.ObserveTimeout(timeout);
-        OnCommitted(write, result);
+  store_.Commit(transaction, timeout,
+                [this, write, now](const absl::StatusOr<CommitOutcome>& it) {
+                  --write->in_flight;
+                  if (it.ok())
+                    write_time_.Observe(clock_.Now() - now);
+                  OnCommitted(write, it);
+                });
+  runner_.PostAfter(
+      std::max(kRepeatWriteAfter, write_time_.mean() * kRepeatWriteFactor),
+      [this, write] {
+        const bool overdue = !write->answered && write->in_flight > 0;
+        if (overdue && write->copies < kMaxWriteCopies)
+          Commit(write);
       });
 }
 
+void JobFrontend::Finish(const std::shared_ptr<Write>& write,
+                         CallAnswer answer) {
+  write->answered = true;
+  write->done(std::move(answer));
+}
+
 void JobFrontend::OnCommitted(const std::shared_ptr<Write>& write,
                               const absl::StatusOr<CommitOutcome>& result) {
+  if (write->answered)
+    return;
   if (!result.ok()) {
     LOG(WARNING) << "row " << write->id.table << "/" << write->id.key
                  << " not written: " << result.status().message();
-    if (!absl::IsUnavailable(result.status())) {
-      write->maybe_written = true;
-      Commit(write);
+    const bool refused = absl::IsUnavailable(result.status());
+    write->maybe_written = write->maybe_written || !refused;
+    // Another copy may still be answered.
+    if (write->in_flight > 0)
       return;
-    }
-    write->done(write->maybe_written ? Answer(CallOutcome::kOutcomeUnknown)
-                                     : NotReady("the store refused"));
+    if (!refused)
+      Commit(write);
+    else
+      Finish(write, write->maybe_written ? Answer(CallOutcome::kOutcomeUnknown)
+                                         : NotReady("the store refused"));
     return;
   }
   if (!result->committed && CancelledJob(write->id).empty() &&
@@ -267,19 +304,41 @@
     const auto record = DecodeJobRecord(
         JobId(write->id.key), result->current.front().value, findings);
     if (record && record->workspace != write->workspace) {
-      write->done(Answer(CallOutcome::kConflict, "the job id is in use"));
+      Finish(write, Answer(CallOutcome::kConflict, "the job id is in use"));
       return;
     }
   }
-  write->done(Answer(CallOutcome::kAccepted));
+  Finish(write, Answer(CallOutcome::kAccepted));
 }
 
 void JobFrontend::ReadRow(const StoreKey& id,
                           TimePoint deadline,
                           VersionedStore::ReadCallback done) {
-  const Duration left = deadline - kAnswerMargin - clock_.Now();
-  store_.Read(RangeOf(id), std::clamp(left, Duration(1), kReadTimeout),
-              std::move(done));
+  auto read = std::make_shared<RepeatedRead>();
+  read->range = RangeOf(id);
+  read->deadline =
+      std::min(deadline - kAnswerMargin, clock_.Now() + kReadTimeout);
+  read->done = std::move(done);
+  SendRead(read);
+}
+
+void JobFrontend::SendRead(const std::shared_ptr<RepeatedRead>& read) {
+  const Duration left = read->deadline - clock_.Now();
+  ++read->in_flight;
+  store_.Read(read->range, std::max(left, Duration(1)),
+              [read](const absl::StatusOr<StoreSnapshot>& it) {
+                --read->in_flight;
+                if (read->answered || (!it.ok() && read->in_flight > 0))
+                  return;
+                read->answered = true;
+                read->done(it);
+              });
+  if (left > kRepeatReadAfter) {
+    runner_.PostAfter(kRepeatReadAfter, [this, read] {
+      if (!read->answered)
+        SendRead(read);
+    });
+  }
 }
 
 void JobFrontend::ReadJob(const JobId& id,
--- a/servers/batch/job_frontend.h
+++ b/servers/batch/job_frontend.h
@@ -104,8 +104,10 @@
 
  private:
   struct Write;
+  struct RepeatedRead;
 
   void Commit(const std::shared_ptr<Write>& write);
+  void Finish(const std::shared_ptr<Write>& write, CallAnswer answer);
   void OnCommitted(const std::shared_ptr<Write>& write,
                    const absl::StatusOr<CommitOutcome>& result);
   void ReadState(const JobId& id,
@@ -120,6 +122,7 @@
   void ReadRow(const StoreKey& id,
                TimePoint deadline,
                VersionedStore::ReadCallback done);
+  void SendRead(const std::shared_ptr<RepeatedRead>& read);
 
   VersionedStore& store_;
   TaskRunner& runner_;
--- a/servers/batch/state_writer.cc
+++ b/servers/batch/state_writer.cc
@@ -25,6 +25,9 @@
 constexpr Duration kShortestTimeout{1'500};
 constexpr Duration kLongestTimeout{3'000};
 constexpr Duration kLookTimeout{600};
+// Interval of the looks for one transaction. A silent store answers no look
+// either, so this bounds how late its return is noticed.
+constexpr Duration kLookInterval{200};
 // Changes that nobody waits for are batched for this long, since the tasks of a
 // job end one by one.
 constexpr Duration kLinger{30};
@@ -126,36 +129,39 @@
   if (std::optional<StoreWrite> heartbeat = heartbeat_())
     transaction.writes.push_back(*std::move(heartbeat));
   last_sent_ = now;
+  if (++batch->copies == 1)
+    batch->first_sent = now;
   batch->sent = now;
   batch->timeout = answer_time_.Timeout(kShortestTimeout, kLongestTimeout);
-  batch->looked_for = false;
+  batch->next_look = TimePoint();
+  batch->seen_slow = false;
   in_flight_.push_back(batch);
-  store_.Commit(
-      transaction, batch->timeout,
-      [this, alive = alive_, batch](const absl::StatusOr<CommitOutcome>& it) {
-        if (*alive)
-          OnCommitted(batch, it);
-      });
+  store_.Commit(transaction, batch->timeout,
+                [this, alive = alive_, batch, copy = batch->copies,
+                 now](const absl::StatusOr<CommitOutcome>& it) {
+                  if (*alive)
+                    OnCommitted(batch, copy, now, it);
+                });
 }
 
 void StateWriter::LookForOverdue(TimePoint now) {
   for (const std::shared_ptr<Batch>& it : in_flight_) {
-    if (it->looked_for || now - it->sent < OverdueAfter())
+    if (now - it->sent < OverdueAfter() || now < it->next_look)
       continue;
-    it->looked_for = true;
+    it->next_look = now + kLookInterval;
     store_.Feed(kStateTable, seen_version_, Duration(0), kLookTimeout,
-                [this, alive = alive_,
-                 batch = it](const absl::StatusOr<StoreSnapshot>& result) {
+                [this, alive = alive_, batch = it, copy = it->copies,
+                 now](const absl::StatusOr<StoreSnapshot>& result) {
                   if (*alive)
-                    OnLook(batch, result);
+                    OnLook(batch, copy, now, result);
                 });
   }
 }
 
 void StateWriter::OnLook(const std::shared_ptr<Batch>& batch,
+                         int copy,
+                         TimePoint looked_at,
                          const absl::StatusOr<StoreSnapshot>& result) {
-  // Without an answer, or with one that came before the transaction took
-  // effect, its own answer or its time-out decides.
   if (batch->settled || !result.ok())
     return;
   const Batch::Item& first = batch->items.front();
@@ -163,44 +169,70 @@
     return it.id == StateRowKey(first.id) && it.value == first.row.value &&
            it.version > first.row.expected;
   });
-  if (row == result->rows.end())
+  if (row != result->rows.end()) {
+    LOG(INFO) << "states found written without an answer: jobs="
+              << batch->items.size() << " version=" << row->version;
+    std::erase(in_flight_, batch);
+    // Any copy may have been the one that took effect.
+    Settle(batch, batch->first_sent, row->version);
+    return;
+  }
+  if (copy != batch->copies ||
+      std::ranges::find(in_flight_, batch) == in_flight_.end())
     return;
-  LOG(INFO) << "states found written without an answer: jobs="
-            << batch->items.size() << " version=" << row->version;
+  // A transaction takes about as long as a look. One that had much more time
+  // was lost on the way, as when the store was silent; otherwise its own answer
+  // or its time-out decides.
+  const TimePoint now = clock_.Now();
+  if (looked_at - batch->sent < kOverdueFactor * (now - looked_at)) {
+    batch->seen_slow = true;
+    return;
+  }
+  LOG(INFO) << "states not found written, sent again: jobs="
+            << batch->items.size()
+            << " after_ms=" << (now - batch->sent).count();
   std::erase(in_flight_, batch);
-  Settle(batch, row->version);
+  failed_.push_back(batch);
+  retry_at_ = now;
 }
 
 void StateWriter::OnCommitted(const std::shared_ptr<Batch>& batch,
+                              int copy,
+                              TimePoint sent,
                               const absl::StatusOr<CommitOutcome>& result) {
   if (result.ok()) {
-    answer_time_.Observe(clock_.Now() - batch->sent);
+    answer_time_.Observe(clock_.Now() - sent);
     seen_version_ = std::max(seen_version_, result->version);
-  } else if (absl::IsDeadlineExceeded(result.status())) {
+  } else if (absl::IsDeadlineExceeded(result.status()) && batch->seen_slow) {
+    // A silent store says nothing about the time that a transaction takes.
     answer_time_.ObserveTimeout(batch->timeout);
   }
-  if (batch->settled)
+  // A newer copy is under way or due when an older one fails.
+  if (batch->settled || (!result.ok() && copy != batch->copies))
     return;
-  std::erase(in_flight_, batch);
+  const bool under_way = std::erase(in_flight_, batch) > 0;
   if (!result.ok()) {
     if (!failing_) {
       LOG(WARNING) << "states not written, retrying: jobs="
                    << batch->items.size() << ": " << result.status().message();
     }
     failing_ = true;
-    failed_.push_back(batch);
+    if (under_way)
+      failed_.push_back(batch);
     retry_at_ = clock_.Now() + retry_.Next();
     return;
   }
+  std::erase(failed_, batch);
   if (failing_)
     LOG(INFO) << "states are written again";
   failing_ = false;
   retry_.Reset();
   if (!result->committed) {
+    batch->settled = true;
     OnConflict(batch, *result);
     return;
   }
-  Settle(batch, result->version);
+  Settle(batch, sent, result->version);
 }
 
 void StateWriter::OnConflict(const std::shared_ptr<Batch>& batch,
@@ -236,9 +268,11 @@
 }
 
 void StateWriter::Settle(const std::shared_ptr<Batch>& batch,
+                         TimePoint sent,
                          RowVersion version) {
   batch->settled = true;
-  confirmed_at_ = std::max(confirmed_at_, batch->sent);
+  std::erase(failed_, batch);
+  confirmed_at_ = std::max(confirmed_at_, sent);
   for (const Batch::Item& it : batch->items)
     Finish(it, version);
 }
--- a/servers/batch/state_writer.h
+++ b/servers/batch/state_writer.h
@@ -70,10 +70,14 @@
       StateRow row;
     };
     std::vector<Item> items;
+    int copies = 0;  // Times it was sent; several may be under way.
+    TimePoint first_sent;
+    // Of the last copy.
     TimePoint sent;
     Duration timeout{0};
-    bool looked_for = false;  // In the feed, since its answer is overdue.
-    bool settled = false;     // Its outcome is known.
+    TimePoint next_look;     // In the feed, while its answer is overdue.
+    bool seen_slow = false;  // The store answered meanwhile.
+    bool settled = false;    // Its outcome is known.
   };
 
   Duration OverdueAfter() const;
@@ -81,16 +85,23 @@
   std::shared_ptr<Batch> TakeBatch();
   void Send(const std::shared_ptr<Batch>& batch, TimePoint now);
   void OnCommitted(const std::shared_ptr<Batch>& batch,
+                   int copy,
+                   TimePoint sent,
                    const absl::StatusOr<CommitOutcome>& result);
   // Checks in the feed whether transactions with an overdue answer took effect.
-  // Sending them again instead would lengthen the queue of a slow store.
+  // Sending them again at once would lengthen the queue of a slow store.
   void LookForOverdue(TimePoint now);
   void OnLook(const std::shared_ptr<Batch>& batch,
+              int copy,
+              TimePoint looked_at,
               const absl::StatusOr<StoreSnapshot>& result);
   void OnConflict(const std::shared_ptr<Batch>& batch,
                   const CommitOutcome& outcome);
-  // The transaction of the batch has taken effect.
-  void Settle(const std::shared_ptr<Batch>& batch, RowVersion version);
+  // The transaction of the batch has taken effect; it was sent at `sent` or
+  // later.
+  void Settle(const std::shared_ptr<Batch>& batch,
+              TimePoint sent,
+              RowVersion version);
   void Finish(const Batch::Item& item, RowVersion version);
 
   VersionedStore& store_;
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -16,6 +16,11 @@
 constexpr Duration kMinFeedSlack{120};
 constexpr Duration kMaxFeedSlack{700};
 constexpr Duration kFirstRetry{50};
+// A read without an answer for so long is repeated beside it, so that an
+// outage without answers is over for the node soon after its end. The first
+// answer counts.
+constexpr Duration kRepeatAfter{250};
+constexpr size_t kMaxReads = 4;
 // First key after `key` in byte order.
 std::string Successor(const std::string& key) {
   return key + '\0';
@@ -27,6 +32,7 @@
 
 // A read of all partitions.
 struct Reading {
+  TimePoint sent;
   std::vector<StoreRow> rows;
   RowVersion version;
   size_t left = 0;  // Partitions that are not read to their end.
@@ -50,28 +56,39 @@
 
   // All partitions are read at the same time.
   void Read(TimePoint now) {
-    busy = true;
-    call_sent = now;
-    reading = std::make_shared<Reading>();
+    auto reading = std::make_shared<Reading>();
+    reading->sent = now;
     reading->left = options.partitions.size();
+    readings.push_back(reading);
     for (const std::string& it : options.partitions)
       ReadPage({options.table, it, "", ""}, reading);
   }
 
+  void RepeatOverdueRead(TimePoint now) {
+    if (readings.size() >= kMaxReads ||
+        now < readings.back()->sent + kRepeatAfter)
+      return;
+    interrupted = true;
+    Read(now);
+  }
+
   void ReadPage(const ReadRange& range, const std::shared_ptr<Reading>& of) {
     store.Read(range, kReadTimeout,
                [weak = weak_from_this(), range,
                 of](const absl::StatusOr<StoreSnapshot>& result) {
                  const auto self = weak.lock();
-                 if (self && !self->stopped && self->reading == of)
-                   self->OnPage(range, result);
+                 if (self && !self->stopped)
+                   self->OnPage(range, of, result);
                });
   }
 
-  void OnPage(ReadRange range, const absl::StatusOr<StoreSnapshot>& result) {
+  void OnPage(ReadRange range,
+              const std::shared_ptr<Reading>& reading,
+              const absl::StatusOr<StoreSnapshot>& result) {
+    if (std::ranges::find(readings, reading) == readings.end())
+      return;
     if (!result.ok()) {
-      reading.reset();
-      busy = false;
+      std::erase(readings, reading);
       Fail(result.status());
       return;
     }
@@ -88,24 +105,24 @@
       return;
     }
     if (--reading->left == 0)
-      FinishRead();
+      FinishRead(reading);
   }
 
-  void FinishRead() {
-    const std::shared_ptr<Reading> done = std::exchange(reading, nullptr);
-    busy = false;
-    answer_time.Observe(clock.Now() - call_sent);
+  void FinishRead(const std::shared_ptr<Reading>& done) {
+    readings.clear();
+    answer_time.Observe(clock.Now() - done->sent);
     version = done->version;
-    Succeed(call_sent);
+    Succeed(done->sent);
     following = true;
     ready = true;
     // The next call goes out first: handlers may call Tick().
+    call_sent = done->sent;
     Continue(clock.Now());
     on_snapshot(done->rows);
   }
 
   void Feed(TimePoint now) {
-    busy = true;
+    feeding = true;
     call_sent = now;
     const Duration slack = answer_time.Timeout(kMinFeedSlack, kMaxFeedSlack);
     store.Feed(
@@ -125,7 +142,7 @@
   }
 
   void OnFeed(const absl::StatusOr<StoreSnapshot>& result) {
-    busy = false;
+    feeding = false;
     if (!result.ok()) {
       const bool silent = absl::IsDeadlineExceeded(result.status());
       if (silent || absl::IsOutOfRange(result.status()))
@@ -149,9 +166,11 @@
     confirmed_at = sent;
     answered_at = clock.Now();
     retry.Reset();
+    if (failing || interrupted)
+      answering_since = sent;
+    interrupted = false;
     if (failing) {
       failing = false;
-      answering_since = sent;
       LOG(INFO) << "table " << options.table << ": store answers again";
     }
   }
@@ -172,7 +191,7 @@
   SnapshotHandler on_snapshot;
   ChangeHandler on_change;
   Backoff retry;
-  std::shared_ptr<Reading> reading;  // Null when no read is under way.
+  std::vector<std::shared_ptr<Reading>> readings;  // Under way, oldest first.
   RowVersion version;
   AnswerTime answer_time;  // Without the wait of feeds.
   TimePoint call_sent;
@@ -180,10 +199,11 @@
   TimePoint answered_at;
   TimePoint answering_since;
   TimePoint retry_at;
-  bool busy = false;
+  bool feeding = false;
   bool following = false;
   bool ready = false;
   bool failing = true;
+  bool interrupted = false;  // A call was without an answer for long.
   bool stopped = false;
 };
 
@@ -205,7 +225,11 @@
 }
 
 void TableFollower::Tick(TimePoint now) {
-  if (state_->busy || now < state_->retry_at)
+  if (!state_->readings.empty()) {
+    state_->RepeatOverdueRead(now);
+    return;
+  }
+  if (state_->feeding || now < state_->retry_at)
     return;
   if (state_->following)
     state_->Feed(now);
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -97,6 +97,7 @@
   Worker& FindOrAdd(const WorkerId& id, TimePoint now);
 
   std::map<WorkerId, Worker>& workers() { return workers_; }
+  const std::map<WorkerId, Worker>& workers() const { return workers_; }
 
  private:
   std::map<WorkerId, Worker> workers_;
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -99,6 +99,8 @@
                            .partitions = {kLeaderPartition},
                            .poll = kControlPoll},
       on_rows, on_rows, seed_);
+  node.leadership = std::make_unique<Leadership>(
+      *node.store, *node.workers, runner, site, metrics, *node.lease, ++seed_);
   nodes.push_back(std::move(node));
 }
 
@@ -106,6 +108,14 @@
   nodes[node] = Node();
 }
 
+void BatchFixture::Resign(size_t node) {
+  nodes[node].leadership->Resign(runner.Now());
+}
+
+Dispatcher* BatchFixture::DispatcherOf(size_t node) {
+  return nodes[node].leadership->dispatcher();
+}
+
 int BatchFixture::Leader() const {
   for (size_t n = 0; n < nodes.size(); ++n) {
     if (nodes[n].lease && nodes[n].lease->is_leader())
@@ -119,33 +129,12 @@
   node.control->Tick(now);
   node.lease->Tick(now, node.control->answering_since(),
                    node.control->answered_at());
-  const bool stale =
-      node.dispatcher && (!node.lease->is_leader() ||
-                          node.lease->fencing_token().epoch != node.epoch);
-  if (node.deposed) {
-    node.lease->StepDown("deposed");
-    node.deposed = false;
-    node.dispatcher.reset();
-  } else if (stale) {
-    node.dispatcher.reset();
-  }
-  if (node.lease->is_leader() && !node.dispatcher) {
-    node.epoch = node.lease->fencing_token().epoch;
-    node.dispatcher = std::make_unique<Dispatcher>(
-        *node.store, *node.workers, runner, site, metrics,
-        node.lease->fencing_token(),
-        [&node](const std::string&) { node.deposed = true; },
-        [this, lease = node.lease.get()] {
-          return lease->TakeHeartbeat(runner.Now());
-        },
-        ++seed_);
+  node.leadership->Update(now);
+  if (Dispatcher* const dispatcher = node.leadership->dispatcher()) {
+    dispatcher->OnWorkers(listed, now);
+    dispatcher->ConfirmWorkers(now);
   }
-  if (!node.dispatcher)
-    return;
-  node.dispatcher->OnWorkers(listed, now);
-  node.dispatcher->ConfirmWorkers(now);
-  node.dispatcher->ConfirmLeadership(node.lease->confirmed_at());
-  node.dispatcher->Tick(now);
+  node.leadership->Tick(now);
 }
 
 void BatchFixture::Run(Duration duration) {
@@ -208,4 +197,14 @@
   return phase;
 }
 
+LeaderFixture::LeaderFixture(int racks, int workers_a_rack)
+    : BatchFixture(racks, workers_a_rack) {
+  AddNode("n1");
+  Run(Duration(1'500));
+}
+
+TaskId Task(const std::string& job, int index) {
+  return {JobId(job), 0, 0, index};
+}
+
 }  // namespace quetzalshelf::batch
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -12,6 +12,7 @@
 #include "servers/batch/dispatcher.h"
 #include "servers/batch/job_frontend.h"
 #include "servers/batch/leader_lease.h"
+#include "servers/batch/leadership.h"
 #include "standins/fleet/memory_versioned_store.h"
 #include "standins/fleet/model_workers.h"
 #include "standins/fleet/severable_store.h"
@@ -34,15 +35,17 @@
     std::unique_ptr<SeverableWorkers> workers;
     std::unique_ptr<LeaderLease> lease;
     std::unique_ptr<TableFollower> control;
-    std::unique_ptr<Dispatcher> dispatcher;
-    Epoch epoch;
-    bool deposed = false;
+    std::unique_ptr<Leadership> leadership;
     bool paused = false;  // Gets no turns; answers still reach it.
   };
 
   void AddNode(const std::string& name);
   // Ends the process of a node at once.
   void Kill(size_t node);
+  // Gives the leadership of a node up, as at a planned stop.
+  void Resign(size_t node);
+  // Null while the node does not lead.
+  Dispatcher* DispatcherOf(size_t node);
   // The index of the node that leads; -1 if none.
   int Leader() const;
 
@@ -76,6 +79,14 @@
   uint64_t seed_ = 1;
 };
 
+// A fixture with one leader that has synced all workers.
+struct LeaderFixture : BatchFixture {
+  explicit LeaderFixture(int racks = 2, int workers_a_rack = 2);
+};
+
+// Of the first step of a job.
+TaskId Task(const std::string& job, int index);
+
 }  // namespace quetzalshelf::batch
 
 #endif  // TESTS_BATCH_BATCH_FIXTURE_H_
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -14,19 +14,6 @@
 constexpr char kOtherJob[] = "00000000000000a2";
 constexpr Duration kLong{30'000};
 
-TaskId Task(const std::string& job, int index) {
-  return {JobId(job), 0, 0, index};
-}
-
-// A fixture with one leader that has synced all workers.
-struct LeaderFixture : BatchFixture {
-  explicit LeaderFixture(int racks = 2, int workers_a_rack = 2)
-      : BatchFixture(racks, workers_a_rack) {
-    AddNode("n1");
-    Run(Duration(1'500));
-  }
-};
-
 }  // namespace
 
 // Guards against a gang that starts late, starts twice or is not reported as
@@ -146,8 +133,7 @@
   LeaderFixture fixture;
   fixture.AddNode("n2");
   fixture.Run(Duration(1'000));
-  fixture.nodes[0].dispatcher->Retire();
-  fixture.nodes[0].lease->Release(fixture.runner.Now());
+  fixture.Resign(0);
   fixture.Run(Duration(300));
   CHECK(fixture.nodes[1].lease->is_leader());
 }
@@ -419,7 +405,7 @@
   fixture.nodes[0].store->set_cut(true);
   fixture.nodes[1].workers->set_cut({holder});
   fixture.Run(ends ? Duration(8'000) : Duration(20'000));
-  REQUIRE(fixture.nodes[1].dispatcher);
+  REQUIRE(fixture.DispatcherOf(1));
   fixture.nodes[0].store->set_cut(false);
   fixture.nodes[1].workers->set_cut({});
   CHECK(fixture.RunUntilFinal(kJob, Duration(60'000)) == JobPhase::kComplete);
--- a/tests/batch/election_and_frontend_test.cc
+++ b/tests/batch/election_and_frontend_test.cc
@@ -51,13 +51,14 @@
   fixture.AddNode("n2");
   fixture.Run(Duration(2'000));
   const int leader = fixture.Leader();
-  const Epoch epoch = fixture.nodes[static_cast<size_t>(leader)].epoch;
+  const auto index = static_cast<size_t>(leader);
+  const Epoch epoch = fixture.nodes[index].leadership->epoch();
   fixture.store.faults().refuse = true;
   fixture.Run(Duration(6'000));
   fixture.store.faults().refuse = false;
   fixture.Run(Duration(3'000));
   CHECK(fixture.Leader() == leader);
-  CHECK(fixture.nodes[static_cast<size_t>(leader)].epoch == epoch);
+  CHECK(fixture.nodes[index].leadership->epoch() == epoch);
 }
 
 // Guards against repeated takeovers when a slow store delivers heartbeats late.
@@ -284,7 +285,7 @@
   fixture.Submit(kJob, MakeJob(1, 1, false));
   fixture.Run(Duration(1'000));
   const std::string report =
-      EncodeLoadReport(fixture.nodes[0].dispatcher->Report());
+      EncodeLoadReport(fixture.DispatcherOf(0)->Report());
   fixture.load.Update(report);
   CHECK(fixture.load.Find(QueueName("plans")).pending == 1);
   CHECK(fixture.load.Find(QueueName("holds")).pending == 0);
