--- a/main/ctl/job_log.cc
+++ b/main/ctl/job_log.cc
@@ -109,6 +109,24 @@
   return "no line of these logs says why";
 }
 
+// Time from the placement of the first tasks to the first confirmed start, in
+// milliseconds: the writing of the state and the start orders. 0 when these
+// logs do not tell.
+int64_t StartWaitMs(const std::vector<LogLine>& lines, const JobEnd& end) {
+  const auto find = [&](const char* word) {
+    return std::ranges::find_if(lines, [&](const LogLine& it) {
+      return it.message.find(word) != std::string::npos;
+    });
+  };
+  const auto loaded = find(" loaded: ");
+  const auto started = find(" started: ");
+  if (loaded == lines.end() || started == lines.end() || end.placed_ms < 0)
+    return 0;
+  return static_cast<int64_t>(started->time_ms) -
+         static_cast<int64_t>(loaded->time_ms) -
+         (end.placed_ms - end.loaded_ms);
+}
+
 std::string FindRefusal(const std::vector<LogLine>& lines) {
   for (const LogLine& it : std::vector(lines.rbegin(), lines.rend())) {
     if (it.message.starts_with("POST "))
@@ -132,6 +150,11 @@
     return times + ": on time";
   if (end->attempts > 1)
     return times + ": started again: " + FindInterruption(lines);
+  const int64_t start_wait_ms = StartWaitMs(lines, *end);
+  if (start_wait_ms > std::max(kNotableWaitMs, end->loaded_ms)) {
+    return times + ": its start took " + std::to_string(start_wait_ms) +
+           " ms after its placement: the store or the workers were slow";
+  }
   if (end->placed_ms >= 0 && end->loaded_ms > kNotableWaitMs) {
     const bool changed = std::ranges::any_of(lines, IsLeaderChange);
     return times + ": the leader learned of it after " +
--- a/tests/main/job_log_test.cc
+++ b/tests/main/job_log_test.cc
@@ -78,6 +78,12 @@
     log += Line(5'000, "n3", Ended(3'000, 900, 930, 1));
     cause = "the leader learned of it after 900 ms: the leader changed";
   }
+  SUBCASE("written late") {
+    log += Line(1'627, "n2",
+                std::string("task ") + kJob + ".0.0.0 started: worker=w");
+    log += Line(5'000, "n2", Ended(2'119, 271, 297, 1));
+    cause = "its start took 587 ms after its placement";
+  }
   SUBCASE("no room") {
     log += Line(5'000, "n2", Ended(3'000, 14, 900, 1));
     cause = "it waited 886 ms for workers with room";
