Let failures after stalls be a burst of their own

Both attempts met workers that had just begun to fail all tasks. The second was placed on a worker whose last success had started during an earlier trouble, in which others hung: the start of the burst was that of the oldest stall.

Ruled out: the wait of the last attempt, which looks for workers with a success since the start of the burst, and found some.

Change: stalls and failures count as bursts of their own; a worker must have had a success since the newer one began.

Result: the new test fails without the change (12,000 instead of 16,000 ms).

--- a/servers/batch/worker_health.cc
+++ b/servers/batch/worker_health.cc
@@ -109,19 +109,30 @@
 }
 
 TimePoint FailureBurstDetector::BurstStart(TimePoint now) const {
-  std::set<WorkerId> workers;
-  std::set<JobId> jobs;
-  TimePoint since = TimePoint::max();
-  for (const Failure& it : recent_) {
-    if (now - it.at > kBurstWindow)
-      continue;
-    since = std::min(since, it.began);
-    workers.insert(it.worker);
-    jobs.insert(it.job);
-  }
-  const bool many =
-      workers.size() >= kMinBurstWorkers && jobs.size() >= kMinBurstJobs;
-  return many ? since : TimePoint::max();
+  const auto start = [&](const auto& counts) {
+    std::set<WorkerId> workers;
+    std::set<JobId> jobs;
+    TimePoint since = TimePoint::max();
+    for (const Failure& it : recent_) {
+      if (now - it.at > kBurstWindow || !counts(it))
+        continue;
+      since = std::min(since, it.began);
+      workers.insert(it.worker);
+      jobs.insert(it.job);
+    }
+    const bool many =
+        workers.size() >= kMinBurstWorkers && jobs.size() >= kMinBurstJobs;
+    return many ? since : TimePoint::max();
+  };
+  const TimePoint stalls = start([](const Failure& it) { return it.stall; });
+  const TimePoint failures = start([](const Failure& it) { return !it.stall; });
+  const bool both = stalls != TimePoint::max() && failures != TimePoint::max();
+  // A worker that went on during the older trouble may still have the newer.
+  if (both)
+    return std::max(stalls, failures);
+  if (failures != TimePoint::max())
+    return failures;
+  return start([](const Failure&) { return true; });
 }
 
 bool FailureBurstDetector::IsJobAtFault(const JobId& job) const {
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -78,6 +78,23 @@
   CHECK(watch.BurstStart(start + Duration(9'000)) == TimePoint::max());
 }
 
+// Guards against the last attempt of a gang on a worker that fails all tasks:
+// its last success was during an earlier trouble, in which others hung.
+TEST_CASE("Failures after a series of stalls are a burst of their own") {
+  FailureBurstDetector detector;
+  const TimePoint hung = FromMillis(12'000);
+  detector.RecordStall(WorkerId("w1"), JobId("j1"), hung, FromMillis(14'000));
+  detector.RecordStall(WorkerId("w2"), JobId("j2"), hung, FromMillis(14'100));
+  CHECK(detector.BurstStart(FromMillis(14'200)) == hung);
+  const TimePoint failed = FromMillis(16'000);
+  detector.RecordQuickFailure(WorkerId("w3"), JobId("j3"), failed);
+  CHECK(detector.BurstStart(FromMillis(16'050)) == hung);
+  detector.RecordQuickFailure(WorkerId("w4"), JobId("j4"), FromMillis(16'100));
+  CHECK(detector.BurstStart(FromMillis(16'200)) == failed);
+  CHECK(detector.BurstStart(FromMillis(19'000)) == failed);
+  CHECK(detector.BurstStart(FromMillis(21'000)) == TimePoint::max());
+}
+
 // Guards against putting one healthy worker after the other on probation for a
 // job that fails wherever it starts.
 TEST_CASE("A job that alone fails on several workers is at fault") {
