Keep descriptors for orders and callers at their limits

Cause: each worker with runs holds a poll, so that a large fleet takes all descriptors of the leader. A caller beyond the connection limit was cut off without an answer, like one of a dead node.

Change: at most so many syncs wait as the descriptors allow, half of which are for callers; workers beyond are synced every 0.5 s without waiting. A call on a connection beyond the limit gets 503 with a time to come back, and is not handled; the log says when the limit is reached and left.

--- a/drivers/http/event_http_server.cc
+++ b/drivers/http/event_http_server.cc
@@ -19,6 +19,10 @@
 using asio::ip::tcp;
 
 constexpr size_t kReadBytes = 8192;
+// Connections beyond the limit whose callers are told to come back; more are
+// closed without an answer.
+constexpr int kRefusalConnections = 32;
+constexpr char kRefusalRetryAfter[] = "1";  // Seconds.
 // Pause of accepting after a failure such as a lack of descriptors.
 constexpr Duration kAcceptRetry{100};
 
@@ -59,6 +63,8 @@
   class Connection;
 
   void Accept();
+  // Logs when the limit is reached, and when there is room again.
+  void LogLimit(bool full);
 
   asio::io_context& io_;
   EventHttpServerOptions options_;
@@ -69,6 +75,7 @@
   int port_ = 0;
   int in_flight_ = 0;
   bool draining_ = false;
+  bool full_ = false;
 };
 
 // One connection: reads a request, waits for its answer, writes it, and reads
@@ -76,8 +83,10 @@
 class EventHttpServer::Impl::Connection
     : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(Impl& server, tcp::socket socket)
+  // With `refuse`, the first request is answered with 503 and not handled.
+  Connection(Impl& server, tcp::socket socket, bool refuse)
       : server_(server.weak_from_this()),
+        refuse_(refuse),
         socket_(std::move(socket)),
         timer_(server.io_),
         parser_(HttpMessageKind::kRequest, server.options_.limits),
@@ -158,6 +167,12 @@
       Close();
       return;
     }
+    if (refuse_) {
+      Write({.status = http_status::kServiceUnavailable,
+             .headers = {{"Retry-After", kRefusalRetryAfter}}},
+            false);
+      return;
+    }
     HttpRequest request;
     request.method = parser_.method();
     ParseTarget(parser_.target(), request);
@@ -210,6 +225,7 @@
   }
 
   std::weak_ptr<Impl> server_;
+  bool refuse_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   HttpStreamParser parser_;
@@ -261,11 +277,13 @@
       });
       return;
     }
-    if (self->connections() < self->options_.connection_limit) {
+    const int excess = self->connections() - self->options_.connection_limit;
+    self->LogLimit(excess >= 0);
+    if (excess < kRefusalConnections) {
       asio::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      const auto connection =
-          std::make_shared<Connection>(*self, std::move(socket));
+      const auto connection = std::make_shared<Connection>(
+          *self, std::move(socket), /*refuse=*/excess >= 0);
       self->connections_.insert(connection);
       connection->Run();
     }
@@ -273,6 +291,17 @@
   });
 }
 
+void EventHttpServer::Impl::LogLimit(bool full) {
+  if (std::exchange(full_, full) == full)
+    return;
+  if (full) {
+    LOG(WARNING) << "connection limit reached, refusing callers: limit="
+                 << options_.connection_limit << " port=" << port_;
+  } else {
+    LOG(INFO) << "connections are accepted again: port=" << port_;
+  }
+}
+
 void EventHttpServer::Impl::BeginDrain(Duration linger) {
   draining_ = true;
   options_.idle_timeout = linger;
--- a/drivers/http/event_http_server.h
+++ b/drivers/http/event_http_server.h
@@ -19,7 +19,8 @@
 struct EventHttpServerOptions {
   std::string host;
   int port = 0;  // 0 lets the system choose; see port().
-  // Further connections are closed at once. Each takes one descriptor.
+  // Requests on further connections are answered with 503 and not handled; a
+  // few dozen more descriptors are taken for that.
   int connection_limit = 0;
   HttpMessageLimits limits;
   // A connection without a request for this long is closed.
--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -24,8 +24,12 @@
 constexpr size_t kMaxIdleConnections = 600;
 constexpr size_t kHeaderBytes = 16'384;
 constexpr size_t kBodyBytes = 262'144;
-// Descriptors that are not for callers: files, the store and workers.
-constexpr int kReservedDescriptors = 1'200;
+// Share of the descriptors that are for callers, as a divisor; the others are
+// for files, the store and workers.
+constexpr int kCallerShare = 2;
+// Descriptors that no poll of a worker may take: files, the store, idle
+// connections and orders.
+constexpr int kReservedDescriptors = 1'000;
 constexpr int kMinConnections = 100;
 constexpr Duration kIdleTimeout{15'000};
 constexpr Duration kRequestTimeout{3'000};
@@ -46,6 +50,15 @@
           .max_header_bytes = kHeaderBytes};
 }
 
+int CallerLimit(int descriptors) {
+  return std::max(kMinConnections, descriptors / kCallerShare);
+}
+
+int PollLimit(int descriptors) {
+  return std::max(kMinConnections, descriptors - CallerLimit(descriptors) -
+                                       kReservedDescriptors);
+}
+
 EventHttpServerOptions ServerOptions(const std::string& host,
                                      int port,
                                      int connections) {
@@ -101,9 +114,7 @@
       caller_server_(io,
                      ServerOptions(settings.callers.host,
                                    settings.callers.port,
-                                   std::max(kMinConnections,
-                                            settings.max_descriptors -
-                                                kReservedDescriptors)),
+                                   CallerLimit(settings.max_descriptors)),
                      [this](const HttpRequest& request,
                             const EventHttpServer::Reply& reply) {
                        caller_api_.Handle(request, reply);
@@ -128,7 +139,14 @@
                           HandleMetrics(reply);
                       }),
       timer_(io),
-      leadership_(store_, workers_, clock_, site_, metrics_, lease_, seed) {
+      leadership_(store_,
+                  workers_,
+                  clock_,
+                  site_,
+                  metrics_,
+                  lease_,
+                  {.max_polls = PollLimit(settings.max_descriptors)},
+                  seed) {
   lease_.set_report_source([this] {
     const batch::Dispatcher* const dispatcher = leadership_.dispatcher();
     return dispatcher ? batch::EncodeLoadReport(dispatcher->Report())
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -34,6 +34,13 @@
 
 namespace quetzalshelf::batch {
 
+struct DispatcherOptions {
+  // Syncs that may wait for an end at the same time; each holds a connection.
+  // Workers beyond it are synced without waiting, so that their orders always
+  // find a free descriptor.
+  int max_polls = 3'000;
+};
+
 class Dispatcher {
  public:
   // Called with the reason when another leader has taken over.
@@ -47,6 +54,7 @@
              FencingToken fencing_token,
              DeposedHandler on_deposed,
              StateWriter::HeartbeatSource heartbeat,
+             DispatcherOptions options,
              uint64_t seed);
   ~Dispatcher();
 
@@ -205,6 +213,7 @@
   const SiteView& site_;
   FencingToken fencing_token_;
   DeposedHandler on_deposed_;
+  DispatcherOptions options_;
 
   // A job in a final phase, with its state in the store and without runs.
   struct FinishedJob {
@@ -234,6 +243,7 @@
   bool fenced_by_worker_ = false;
   // Sequence number that orders syncs and confirmations within one clock tick.
   uint64_t last_event_ = 0;
+  int polls_ = 0;                       // Syncs under way that may wait.
   std::set<TaskId> due_runs_;           // Tasks whose next order is due.
   std::set<WorkerId> due_workers_;      // Workers to sync.
   std::set<WorkerId> awaiting_record_;  // Workers with unrecorded ends.
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -18,6 +18,8 @@
 // Interval of syncs of a worker whose ends are not recorded yet; they keep its
 // leases alive.
 constexpr Duration kBlockedSyncInterval{700};
+// Interval of the syncs of workers beyond the limit of polls.
+constexpr Duration kUnpolledSyncInterval{500};
 // Delay before a step is retried after its run failed.
 constexpr Duration kFailedStepBackoff{50};
 // Minimum time between two speed checks of a gang.
@@ -62,16 +64,21 @@
     request.lease_until_ms = worker.GrantLease(now, lease);
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
-  if (may_wait)
+  const bool polls = may_wait && polls_ < options_.max_polls;
+  if (polls) {
     request.wait = kSyncWait;
+    ++polls_;
+  }
   worker.sync_soon = false;
   worker.sync_in_flight = true;
   port_.Sync(worker.entry, request, kSyncTimeout + request.wait,
-             [this, alive = alive_, id = worker.entry.id,
+             [this, alive = alive_, id = worker.entry.id, polls,
               sent_event = ++last_event_, noted = request.acknowledged_ends](
                  const absl::StatusOr<SyncReply>& reply) {
                if (!*alive || deposed_)
                  return;
+               if (polls)
+                 --polls_;
                Worker* const known = registry_.Find(id);
                if (known && reply.ok() && reply->result == OrderResult::kDone)
                  known->acknowledged_ends = noted;
@@ -119,8 +126,12 @@
   ApplyEnds(worker, *reply, now);
   ApplyRuns(worker, *reply, sent_event, now);
   RecordEnds(worker);
-  worker.next_sync =
-      worker.pending_ends.empty() ? now : now + kBlockedSyncInterval;
+  if (!worker.pending_ends.empty())
+    worker.next_sync = now + kBlockedSyncInterval;
+  else if (polls_ >= options_.max_polls && !worker.sync_soon)
+    worker.next_sync = now + kUnpolledSyncInterval;
+  else
+    worker.next_sync = now;
   if (news)
     pass_due_ = true;
   due_workers_.insert(id);
--- a/servers/batch/leadership.cc
+++ b/servers/batch/leadership.cc
@@ -10,6 +10,7 @@
                        const SiteView& site,
                        MetricsRegistry& metrics,
                        LeaderLease& lease,
+                       DispatcherOptions options,
                        uint64_t seed)
     : store_(store),
       workers_(workers),
@@ -17,6 +18,7 @@
       site_(site),
       metrics_(metrics),
       lease_(lease),
+      options_(options),
       seed_(seed) {}
 
 void Leadership::Update(TimePoint now) {
@@ -39,7 +41,7 @@
         deposed_ = true;
         reason_ = reason;
       },
-      [this] { return lease_.TakeHeartbeat(clock_.Now()); },
+      [this] { return lease_.TakeHeartbeat(clock_.Now()); }, options_,
       seed_ + epoch_.value());
 }
 
--- a/servers/batch/leadership.h
+++ b/servers/batch/leadership.h
@@ -27,6 +27,7 @@
              const SiteView& site,
              MetricsRegistry& metrics,
              LeaderLease& lease,
+             DispatcherOptions options,
              uint64_t seed);
 
   // Creates or ends the dispatcher as the lease says.
@@ -56,6 +57,7 @@
   const SiteView& site_;
   MetricsRegistry& metrics_;
   LeaderLease& lease_;
+  DispatcherOptions options_;
   uint64_t seed_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::unique_ptr<LeaseHandover> handover_;
--- a/standins/fleet/severable_workers.cc
+++ b/standins/fleet/severable_workers.cc
@@ -37,12 +37,17 @@
                             const batch::SyncRequest& request,
                             Duration timeout,
                             SyncCallback done) {
+  const int poll = request.wait > Duration(0) ? 1 : 0;
+  *polls_ += poll;
+  most_polls_ = std::max(most_polls_, *polls_);
   most_syncs_ = std::max(most_syncs_, ++*syncs_);
-  SyncCallback finish = [syncs = syncs_, done = std::move(done)](
-                            absl::StatusOr<batch::SyncReply> reply) {
-    --*syncs;
-    done(std::move(reply));
-  };
+  SyncCallback finish =
+      [syncs = syncs_, polls = polls_, poll,
+       done = std::move(done)](absl::StatusOr<batch::SyncReply> reply) {
+        --*syncs;
+        *polls -= poll;
+        done(std::move(reply));
+      };
   if (cut_.contains(worker.id))
     runner_.PostAfter(timeout,
                       [finish = std::move(finish)] { finish(NoAnswer()); });
--- a/standins/fleet/severable_workers.h
+++ b/standins/fleet/severable_workers.h
@@ -21,6 +21,8 @@
   void set_cut(std::set<WorkerId> cut) { cut_ = std::move(cut); }
   // The most syncs that waited for an answer at the same time.
   int most_syncs() const { return most_syncs_; }
+  // The same of those that may wait for an end.
+  int most_polls() const { return most_polls_; }
 
   void Start(const batch::WorkerEntry& worker,
              const batch::StartOrder& order,
@@ -41,7 +43,9 @@
   std::set<WorkerId> cut_;
   // Shared with the answers, which may outlive this object.
   std::shared_ptr<int> syncs_ = std::make_shared<int>(0);
+  std::shared_ptr<int> polls_ = std::make_shared<int>(0);
   int most_syncs_ = 0;
+  int most_polls_ = 0;
 };
 
 }  // namespace quetzalshelf
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -100,7 +100,8 @@
                            .poll = kControlPoll},
       on_rows, on_rows, seed_);
   node.leadership = std::make_unique<Leadership>(
-      *node.store, *node.workers, runner, site, metrics, *node.lease, ++seed_);
+      *node.store, *node.workers, runner, site, metrics, *node.lease,
+      dispatcher_options, ++seed_);
   nodes.push_back(std::move(node));
 }
 
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -71,6 +71,7 @@
   JobFrontend frontend;
   std::vector<Node> nodes;
   Duration run_time{2'500};
+  DispatcherOptions dispatcher_options;  // Of nodes added from now on.
 
  private:
   void TickNode(Node& node);
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -634,6 +634,24 @@
   CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
 }
 
+// Guards against polls that take all descriptors of a VM when many workers run
+// tasks: orders then find none, and gangs start without some of their members.
+TEST_CASE("Workers beyond the limit of polls are synced without waiting") {
+  constexpr int kWorkers = 60;
+  BatchFixture fixture(2, kWorkers / 2);
+  fixture.dispatcher_options.max_polls = 10;
+  fixture.AddNode("n1");
+  fixture.Run(Duration(1'500));
+  fixture.run_time = Duration(9'000);
+  fixture.Submit(kJob, MakeJob(kWorkers, 8, false), "/holds/");
+  fixture.Run(Duration(8'500));
+  CHECK(fixture.workers.running() == kWorkers);
+  fixture.Run(Duration(1'400));
+  CHECK(fixture.State(kJob).phase == JobPhase::kComplete);
+  CHECK(fixture.workers.total_starts() == kWorkers);
+  CHECK(fixture.nodes[0].workers->most_polls() <= 10);
+}
+
 // Guards against leases that expire while a new leader waits for workers that
 // do not answer.
 TEST_CASE("A new leader first contacts the workers that run tasks") {
--- a/tests/batch/order_of_answers_test.cc
+++ b/tests/batch/order_of_answers_test.cc
@@ -63,7 +63,7 @@
                                    store.Find(EpochRowKey())->version};
   Dispatcher dispatcher(
       store, port, runner, site, metrics, fencing_token,
-      [](const std::string&) {}, [] { return std::nullopt; }, 1);
+      [](const std::string&) {}, [] { return std::nullopt; }, {}, 1);
   const auto run = [&](Duration duration) {
     for (Duration passed{0}; passed < duration; passed += Duration(1)) {
       site.Confirm(runner.Now());
--- a/tests/drivers/event_http_test.cc
+++ b/tests/drivers/event_http_test.cc
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
@@ -100,6 +102,33 @@
   CHECK(echo.Exchange("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
 }
 
+// Guards against callers beyond the limit that cannot tell a full node from a
+// dead one.
+TEST_CASE("Callers beyond the connection limit are told to come back") {
+  EchoServer echo;
+  const tcp::endpoint endpoint(
+      asio::ip::make_address("127.0.0.1"),
+      static_cast<asio::ip::port_type>(echo.server.port()));
+  std::vector<tcp::socket> held;
+  for (int n = 0; n < 4; ++n) {
+    held.emplace_back(echo.io);
+    held.back().connect(endpoint);
+    while (echo.server.connections() <= n)
+      echo.io.run_one();
+  }
+  const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+  const std::string refused = echo.Exchange(request);
+  CHECK(refused.starts_with("HTTP/1.1 503 "));
+  CHECK(refused.find("Retry-After: 1\r\n") != std::string::npos);
+  CHECK(refused.find("GET/a") == std::string::npos);
+  held.clear();
+  while (echo.server.connections() > 0)
+    echo.io.run_one();
+  CHECK(echo.Exchange("GET /a HTTP/1.1\r\nHost: x\r\n"
+                      "Connection: close\r\n\r\n")
+            .find("GET/a") != std::string::npos);
+}
+
 TEST_CASE("A request may arrive byte by byte") {
   HttpStreamParser parser(HttpMessageKind::kRequest, {512, 64});
   const std::string text =
