--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -16,9 +16,9 @@
 constexpr Duration kMinFeedSlack{120};
 constexpr Duration kMaxFeedSlack{700};
 constexpr Duration kFirstRetry{50};
-// A read without an answer for so long is repeated beside it, so that an
-// outage without answers is over for the node soon after its end. The first
-// answer counts.
+// A second read is sent while the first has had no answer for this long, so
+// that the end of a silent outage is noticed before the first read times out.
+// The first answer counts.
 constexpr Duration kRepeatAfter{250};
 constexpr size_t kMaxReads = 4;
 // First key after `key` in byte order.
