Pause before repeating a write whose connection broke

Cause: a submission on a store that resets each connection was written again as soon as the connection had broken: 1,425 times in the 2.85 s that its caller waited.

Change: a pause of 0.1 s.

Conclusion: callers see no difference, the store is spared.

--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -30,6 +30,9 @@
 constexpr Duration kRepeatWriteAfter{300};
 constexpr int kRepeatWriteFactor = 4;
 constexpr int kMaxWriteCopies = 5;
+// Pause after a write whose connection broke; a store that resets every
+// connection answers within milliseconds.
+constexpr Duration kBrokenWritePause{100};
 constexpr Duration kReadTimeout{900};
 constexpr Duration kRepeatReadAfter{250};
 // States are written shortly after the ends of runs that change them, and
@@ -291,11 +294,15 @@
     // Another copy may still be answered.
     if (write->in_flight > 0)
       return;
-    if (!refused)
-      Commit(write);
-    else
+    if (refused) {
       Finish(write, write->maybe_written ? Answer(CallOutcome::kOutcomeUnknown)
                                          : NotReady("the store refused"));
+      return;
+    }
+    runner_.PostAfter(kBrokenWritePause, [this, write] {
+      if (!write->answered && write->in_flight == 0)
+        Commit(write);
+    });
     return;
   }
   if (!result->committed && CancelledJob(write->id).empty() &&
--- a/tests/batch/store_outage_test.cc
+++ b/tests/batch/store_outage_test.cc
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <string>
+#include <utility>
+
 #include "tests/batch/batch_fixture.h"
 
 namespace quetzalshelf::batch {
@@ -15,6 +19,31 @@
 // A caller that was refused during the outage returns after this time.
 constexpr Duration kRetryAfter{1'000};
 
+// A store that resets every connection.
+class ResettingStore : public VersionedStore {
+ public:
+  explicit ResettingStore(TaskRunner& runner) : runner_(runner) {}
+
+  void Commit(const StoreTransaction&, Duration, CommitCallback done) override {
+    ++commits_;
+    runner_.PostAfter(Duration(2), [done = std::move(done)] {
+      done(absl::UnknownError("the connection broke"));
+    });
+  }
+  void Read(const ReadRange&, Duration, ReadCallback) override {}
+  void Feed(const std::string&,
+            RowVersion,
+            Duration,
+            Duration,
+            ReadCallback) override {}
+
+  int commits() const { return commits_; }
+
+ private:
+  TaskRunner& runner_;
+  int commits_ = 0;
+};
+
 }  // namespace
 
 // Guards against state writes that hang in an outage without answers and block
@@ -83,6 +112,23 @@
   CHECK(answer->outcome == expected);
 }
 
+// Guards against a call that repeats its write as fast as connections break.
+TEST_CASE("Writes on breaking connections are repeated at a bounded rate") {
+  BatchFixture fixture;
+  ResettingStore store(fixture.runner);
+  JobFrontend frontend(store, fixture.runner, fixture.runner, fixture.site,
+                       fixture.load, {});
+  std::optional<CallAnswer> answer;
+  frontend.Submit({"desk.example", std::string("/plans/") + kJob, "key-plaza",
+                   fixture.runner.Now() + Duration(3'000)},
+                  MakeJob(1, 1, false),
+                  [&](const CallAnswer& it) { answer = it; });
+  fixture.Run(Duration(3'000));
+  REQUIRE(answer);
+  CHECK(answer->outcome == CallOutcome::kOutcomeUnknown);
+  CHECK(store.commits() <= 40);
+}
+
 // Guards against copies of a write that hide one another: a refusal of one says
 // nothing about a copy without an answer.
 TEST_CASE("A refused copy of a write without an answer is no refusal") {
