--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -299,6 +299,10 @@
                                          : NotReady("the store refused"));
       return;
     }
+    if (write->deadline - clock_.Now() <= kBrokenWritePause) {
+      Finish(write, Answer(CallOutcome::kOutcomeUnknown));
+      return;
+    }
     runner_.PostAfter(kBrokenWritePause, [this, write] {
       if (!write->answered && write->in_flight == 0)
         Commit(write);
--- a/tests/batch/store_outage_test.cc
+++ b/tests/batch/store_outage_test.cc
@@ -112,6 +112,30 @@
   CHECK(answer->outcome == expected);
 }
 
+// Guards against an answer so late that the caller has left. 150 ms are kept
+// for its way.
+TEST_CASE("A write that runs out of time is told before its caller leaves") {
+  BatchFixture fixture;
+  ResettingStore resetting(fixture.runner);
+  SeverableStore silent(fixture.store, fixture.runner);
+  silent.set_cut(true);
+  VersionedStore* store = &resetting;
+  SUBCASE("breaking connections") {}
+  SUBCASE("no answers") {
+    store = &silent;
+  }
+  JobFrontend frontend(*store, fixture.runner, fixture.runner, fixture.site,
+                       fixture.load, {});
+  std::optional<CallAnswer> answer;
+  frontend.Submit({"desk.example", std::string("/plans/") + kJob, "key-plaza",
+                   fixture.runner.Now() + Duration(3'000)},
+                  MakeJob(1, 1, false),
+                  [&](const CallAnswer& it) { answer = it; });
+  fixture.Run(Duration(2'850));
+  REQUIRE(answer);
+  CHECK(answer->outcome == CallOutcome::kOutcomeUnknown);
+}
+
 // Guards against a call that repeats its write as fast as connections break.
 TEST_CASE("Writes on breaking connections are repeated at a bounded rate") {
   BatchFixture fixture;
