Sync workers that return after a cut

A failure domain of 88 workers was cut off for 8.5 s. Tasks there ended, their runs were taken for lost and started again elsewhere. Workers that had missed syncs and had no run any more were not synced again after the cut: their ends stayed unread until the next cut, so that preempted copies started once more, and 80 of the 88 workers ran nothing for 6 s and longer.

Change: a listed worker that has missed syncs is synced until it answers.

--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -37,7 +37,10 @@
   if (!worker.synced || worker.sync_in_flight || worker.entry.port == 0 ||
       now < worker.next_sync)
     return;
-  const bool wanted = worker.runs > 0 || worker.sync_soon ||
+  // A worker that has missed syncs is unusable, and may hold ends of runs that
+  // are taken for lost, until it answers.
+  const bool unheard = worker.listed && worker.sync_failures > 0;
+  const bool wanted = unheard || worker.runs > 0 || worker.sync_soon ||
                       !worker.pending_ends.empty() ||
                       worker.acknowledged_ends < worker.recorded_ends;
   if (wanted)
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdio>
+#include <utility>
 
 #include "tests/batch/batch_fixture.h"
 
@@ -186,6 +187,30 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against workers that are never synced again once their runs are taken
+// for lost: they stay idle, and tasks that had ended there run again.
+TEST_CASE("A worker that returns after a cut is heard and used again") {
+  LeaderFixture fixture(1, 1);
+  fixture.run_time = Duration(3'000);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  fixture.Run(Duration(300));
+  REQUIRE(fixture.workers.running() == 1);
+  fixture.nodes[0].workers->set_cut({WorkerId("w00")});
+  fixture.Run(Duration(4'000));
+  // The platform no longer lists it either.
+  const std::vector<WorkerEntry> all = std::exchange(fixture.listed, {});
+  fixture.Run(Duration(4'000));
+  fixture.nodes[0].workers->set_cut({});
+  fixture.listed = all;
+  fixture.Run(Duration(1'000));
+  CHECK(fixture.State(kJob).phase == JobPhase::kComplete);
+  fixture.Submit(kOtherJob, MakeJob(1, 8, false), "/holds/");
+  fixture.Run(Duration(300));
+  CHECK(fixture.workers.starts(Task(kOtherJob, 0)) == 1);
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 1);
+  CHECK(fixture.workers.violations().empty());
+}
+
 // Guards against a process that acts after a pause on a permission that has run
 // out meanwhile.
 TEST_CASE("A leader that was paused starts nothing that its successor runs") {
