Give the tests of job logs a transport

Ruled out: the program, whose factory always returns a transport.

Change: the tests pass a transport that reaches nobody.

--- a/tests/main/job_log_test.cc
+++ b/tests/main/job_log_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <memory>
 #include <sstream>
 #include <string>
 
@@ -27,6 +28,12 @@
          " attempts=" + std::to_string(attempts);
 }
 
+// The command calls no node.
+class NoTransport : public Transport {
+ public:
+  HttpReply Send(const Server&, const HttpCall&) override { return {}; }
+};
+
 struct Outcome {
   Exit exit = Exit::kOk;
   std::string out;
@@ -47,7 +54,8 @@
   Outcome outcome;
   outcome.exit = RunCommandLine(
       {"job", "logs", kJob, "--file", "day.log"}, environment,
-      [](const std::string&) { return nullptr; }, out, err);
+      [](const std::string&) { return std::make_unique<NoTransport>(); }, out,
+      err);
   outcome.out = out.str();
   outcome.err = err.str();
   return outcome;
