Log why an urgent step waits for workers

Cause: when a guaranteed job does not begin in time, the logs show neither whether it counted towards its workspace's share nor why no workers were reclaimed for it. Change: a line for each second of the wait of an urgent step, with the reason of the last pass.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -194,7 +194,12 @@
   // Moves the run of a gang member that its worker refused to another worker.
   // False when no worker has capacity or the gang is being stopped.
   bool MoveGangMember(Job& job, const TaskId& id, TimePoint now);
-  void StartUnit(PlacementUnit& unit, PassState& pass);
+  // Starts the unit if it can. Returns why it waits, null when it does not.
+  const char* StartUnit(PlacementUnit& unit, PassState& pass);
+  // Logs the wait of an urgent unit at a bounded rate.
+  static void LogWait(const PlacementUnit& unit,
+                      const char* why,
+                      TimePoint now);
   // Places a gang. During a failure burst it prefers workers on which a run
   // that started since the beginning of the burst has succeeded.
   std::optional<Placement> PlaceGangOnHealthyWorkers(const PlacementUnit& unit,
@@ -204,7 +209,11 @@
   bool TryStartReserved(PlacementUnit& unit, PassState& pass);
   // Stops a run, or a gang, for urgent work.
   void Preempt(Job& job, const TaskId& id, TimePoint now);
-  bool TryReclaim(PlacementUnit& unit, const Demand& demand, PassState& pass);
+  // Reserves workers for the unit and stops what runs there. Returns why it
+  // does not, null when it does.
+  const char* TryReclaim(PlacementUnit& unit,
+                         const Demand& demand,
+                         PassState& pass);
   void Assign(PlacementUnit& unit, const Placement& placement, PassState& pass);
 
   VersionedStore& store_;
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -46,6 +46,9 @@
 constexpr Duration kLastAttemptMaxWait{8'000};
 // Preemptions that are further apart are not in a row.
 constexpr Duration kPreemptionMemory{10'000};
+// Urgent steps are expected to start sooner than this. Also the time between
+// two log lines on the wait of a step.
+constexpr Duration kWaitLogInterval{1'000};
 // Occurrences start this long after they are due, since the clocks of VMs
 // differ slightly.
 constexpr int64_t kDueMarginMs = 30;
@@ -154,8 +157,10 @@
   pass.guaranteed = GuaranteedJobs();
   std::vector<PlacementUnit> units = CollectUnits(pass);
   std::ranges::sort(units, {}, &PlacementUnit::Rank);
-  for (PlacementUnit& it : units)
-    StartUnit(it, pass);
+  for (PlacementUnit& it : units) {
+    if (const char* const why = StartUnit(it, pass))
+      LogWait(it, why, pass.now);
+  }
 }
 
 void Dispatcher::ComputeUsage(PassState& pass) {
@@ -290,11 +295,27 @@
   return now < accepted + allowed;
 }
 
-void Dispatcher::StartUnit(PlacementUnit& unit, PassState& pass) {
+void Dispatcher::LogWait(const PlacementUnit& unit,
+                         const char* why,
+                         TimePoint now) {
+  const Duration waited = now - unit.step->ready_since;
+  if (unit.job->record().priority > 0 || waited < kWaitLogInterval ||
+      now < unit.step->next_wait_log)
+    return;
+  unit.step->next_wait_log = now + kWaitLogInterval;
+  LOG(INFO) << "step " << ToString(unit.id)
+            << " waits for workers: tasks=" << unit.waiting.size()
+            << " accelerators=" << unit.spec->resources.accelerators.value()
+            << " gang=" << unit.spec->gang << " guaranteed=" << unit.guaranteed
+            << " late=" << unit.late << " waited_ms=" << waited.count() << ": "
+            << why;
+}
+
+const char* Dispatcher::StartUnit(PlacementUnit& unit, PassState& pass) {
   std::vector<Candidate>& candidates =
       CandidatesOf(unit.job->record().service, pass);
   if (!unit.step->reserved.empty() && TryStartReserved(unit, pass))
-    return;
+    return unit.step->reserved.empty() ? nullptr : "runs are being stopped";
   Demand demand = MakeDemand(*unit.spec, static_cast<int>(unit.waiting.size()));
   demand.urgent = unit.job->record().priority == 0;
   for (const TaskProgress& it : unit.step->tasks) {
@@ -319,17 +340,19 @@
     const Placement placement = PlaceTasks(candidates, demand);
     if (!placement.empty())
       Assign(unit, placement, pass);
-    return;
+    const bool placed = placement.size() == unit.waiting.size();
+    return placed ? nullptr : "no worker has room, none is reclaimed";
   }
   const bool allow_spread =
       demand.rack_local && !FitsSomeRack(candidates, demand);
   if (const auto placement =
           PlaceGangOnHealthyWorkers(unit, demand, allow_spread, pass)) {
     Assign(unit, *placement, pass);
-    return;
+    return nullptr;
   }
-  if (MayReserve(unit, pass))
-    TryReclaim(unit, demand, pass);
+  if (!MayReserve(unit, pass))
+    return "no workers have room, none may be reclaimed yet";
+  return TryReclaim(unit, demand, pass);
 }
 
 bool Dispatcher::MayReserve(const PlacementUnit& unit,
@@ -454,9 +477,9 @@
   pass.victims_collected = true;
 }
 
-bool Dispatcher::TryReclaim(PlacementUnit& unit,
-                            const Demand& demand,
-                            PassState& pass) {
+const char* Dispatcher::TryReclaim(PlacementUnit& unit,
+                                   const Demand& demand,
+                                   PassState& pass) {
   const ServiceName& service = unit.job->record().service;
   std::vector<Candidate>& candidates = CandidatesOf(service, pass);
   unit.step->reclaim_at = pass.now + kReclaimRetryInterval;
@@ -488,10 +511,11 @@
       unit.guaranteed || !FitsSomeRack(candidates, demand);
   const auto plan = PlanReclaim(candidates, groups, demand, allow_spread);
   const Duration waited = pass.now - unit.job->accepted_at();
-  if (!plan ||
-      !IsReclaimWorthwhile(
+  if (!plan)
+    return "stopping all that may be stopped makes too little room";
+  if (!IsReclaimWorthwhile(
           *plan, {StepWork(*unit.spec), unit.guaranteed, unit.late, waited}))
-    return false;
+    return "stopping others would cost more than it gains";
   reclaims_.Add();
   LOG(INFO) << "step " << ToString(unit.id)
             << " reclaims workers: groups=" << plan->victims.size()
@@ -517,7 +541,7 @@
   }
   if (!may_stop)
     pass.held.insert(service);
-  return true;
+  return nullptr;
 }
 
 void Dispatcher::Preempt(Job& job, const TaskId& id, TimePoint now) {
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -76,6 +76,7 @@
   int preemptions = 0;   // In a row, up to the last one.
   TimePoint preempted_at;
   TimePoint next_speed_check;  // Of a gang, at the progress of its members.
+  TimePoint next_wait_log;     // Earliest time of the next line on its wait.
 };
 
 struct OccurrenceProgress {
