Reclaim workers for urgent tasks outside of gangs

Cause: reservations and reclaims were reached only by steps that are gangs. A job of one task is sent without the gang flag, so its task was placed on free capacity or left waiting; nothing was ever stopped for it.

Change: tasks outside of gangs that find no room reclaim workers by the same rules, each on a worker of its own choice, as many as there can be room for. They start one by one as their workers become free. Reserved workers count towards the limit of a step per worker, and a reservation ends when no task of the step waits any more.

The new test "Guaranteed urgent tasks of no gang begin within three seconds" failed before (both subcases).

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -207,6 +207,8 @@
                                                      bool allow_spread,
                                                      PassState& pass);
   bool TryStartReserved(PlacementUnit& unit, PassState& pass);
+  // Starts tasks of no gang on the reserved workers that have room by now.
+  void StartReservedTasks(PlacementUnit& unit, PassState& pass);
   // Stops a run, or a gang, for urgent work.
   void Preempt(Job& job, const TaskId& id, TimePoint now);
   // Reserves workers for the unit and stops what runs there. Returns why it
@@ -214,6 +216,7 @@
   const char* TryReclaim(PlacementUnit& unit,
                          const Demand& demand,
                          PassState& pass);
+  // Places the first waiting tasks of the unit, which then wait no longer.
   void Assign(PlacementUnit& unit, const Placement& placement, PassState& pass);
 
   VersionedStore& store_;
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -94,9 +94,9 @@
   return weight * (lost_work + kRestartCost);
 }
 
-// Excludes workers with a penalty from the placement of a gang, since one
-// failing worker fails the whole gang. Excludes none if they are more than
-// half.
+// Excludes workers with a penalty: one failing worker fails a whole gang, and
+// no run should be stopped in favour of one that is likely to fail. Excludes
+// none if they are more than half.
 void AvoidUnhealthyWorkers(const std::vector<Candidate>& candidates,
                            Demand& demand) {
   std::vector<WorkerId> unhealthy;
@@ -173,12 +173,16 @@
         StepProgress& step = occurrence.steps[n];
         const Resources each =
             MakeDemand(job.spec(static_cast<int>(n)), 1).each;
+        bool any_waiting = false;
         for (const TaskProgress& task : step.tasks) {
+          any_waiting = any_waiting || (!task.done && !task.run);
           if (!task.run)
             continue;
           if (Worker* const worker = registry_.Find(task.run->worker))
             worker->used += each;
         }
+        if (!any_waiting)
+          step.reserved.clear();
         if (!step.reserved.empty() && job.record().priority > 0)
           pass.held.insert(job.record().service);
         for (const WorkerId& reserved : step.reserved) {
@@ -314,11 +318,18 @@
 const char* Dispatcher::StartUnit(PlacementUnit& unit, PassState& pass) {
   std::vector<Candidate>& candidates =
       CandidatesOf(unit.job->record().service, pass);
-  if (!unit.step->reserved.empty() && TryStartReserved(unit, pass))
-    return unit.step->reserved.empty() ? nullptr : "runs are being stopped";
-  Demand demand = MakeDemand(*unit.spec, static_cast<int>(unit.waiting.size()));
+  StepProgress& step = *unit.step;
+  if (!unit.spec->gang)
+    StartReservedTasks(unit, pass);
+  else if (!step.reserved.empty() && TryStartReserved(unit, pass))
+    return step.reserved.empty() ? nullptr : "runs are being stopped";
+  if (unit.waiting.size() == step.reserved.size())
+    return unit.waiting.empty() ? nullptr : "runs are being stopped";
+  Demand demand = MakeDemand(
+      *unit.spec, static_cast<int>(unit.waiting.size() - step.reserved.size()));
   demand.urgent = unit.job->record().priority == 0;
-  for (const TaskProgress& it : unit.step->tasks) {
+  demand.present = step.reserved;
+  for (const TaskProgress& it : step.tasks) {
     if (it.run)
       demand.present.push_back(it.run->worker);
     demand.avoid.insert(it.failed_on.begin(), it.failed_on.end());
@@ -340,15 +351,20 @@
     const Placement placement = PlaceTasks(candidates, demand);
     if (!placement.empty())
       Assign(unit, placement, pass);
-    const bool placed = placement.size() == unit.waiting.size();
-    return placed ? nullptr : "no worker has room, none is reclaimed";
-  }
-  const bool allow_spread =
-      demand.rack_local && !FitsSomeRack(candidates, demand);
-  if (const auto placement =
-          PlaceGangOnHealthyWorkers(unit, demand, allow_spread, pass)) {
-    Assign(unit, *placement, pass);
-    return nullptr;
+    for (const size_t n : placement)
+      demand.present.push_back(candidates[n].worker->id);
+    demand.tasks -= static_cast<int>(placement.size());
+    if (demand.tasks == 0)
+      return nullptr;
+    AvoidUnhealthyWorkers(candidates, demand);
+  } else {
+    const bool allow_spread =
+        demand.rack_local && !FitsSomeRack(candidates, demand);
+    if (const auto placement =
+            PlaceGangOnHealthyWorkers(unit, demand, allow_spread, pass)) {
+      Assign(unit, *placement, pass);
+      return nullptr;
+    }
   }
   if (!MayReserve(unit, pass))
     return "no workers have room, none may be reclaimed yet";
@@ -360,7 +376,8 @@
   if (pass.now < unit.step->reclaim_at)
     return false;
   const bool is_starving =
-      unit.late && pass.now - unit.step->ready_since >= kStarvationThreshold;
+      unit.spec->gang && unit.late &&
+      pass.now - unit.step->ready_since >= kStarvationThreshold;
   return unit.job->record().priority == 0 ||
          (is_starving && !pass.held.contains(unit.job->record().service));
 }
@@ -427,6 +444,38 @@
   return false;
 }
 
+void Dispatcher::StartReservedTasks(PlacementUnit& unit, PassState& pass) {
+  StepProgress& step = *unit.step;
+  std::vector<Candidate>& candidates =
+      CandidatesOf(unit.job->record().service, pass);
+  const Demand one = MakeDemand(*unit.spec, 1);
+  std::vector<size_t> usable;
+  for (const WorkerId& id : std::exchange(step.reserved, {})) {
+    const auto it = std::ranges::find(
+        candidates, id, [](const Candidate& c) { return c.worker->id; });
+    if (it == candidates.end())
+      continue;
+    // The reservation itself counts as used.
+    it->free += one.each;
+    usable.push_back(static_cast<size_t>(it - candidates.begin()));
+  }
+  for (const size_t n : usable) {
+    Candidate& candidate = candidates[n];
+    if (unit.waiting.size() == step.reserved.size() ||
+        !IsEligible(*candidate.worker, one))
+      continue;
+    if (CountFits(*candidate.worker, candidate.free, one) > 0) {
+      Assign(unit, {n}, pass);
+    } else if (pass.now <= step.reserved_until) {
+      step.reserved.push_back(candidate.worker->id);
+      candidate.free -= one.each;
+    } else {
+      LOG(INFO) << "reservation of step " << ToString(unit.id)
+                << " cancelled: worker=" << candidate.worker->id;
+    }
+  }
+}
+
 void Dispatcher::CollectVictims(PassState& pass, const ServiceName& service) {
   const std::vector<Candidate>& candidates = CandidatesOf(service, pass);
   std::map<WorkerId, size_t> index;
@@ -525,16 +574,19 @@
             << " lost_core_s=" << plan->lost_work
             << " guaranteed=" << unit.guaranteed
             << " waited_ms=" << waited.count();
-  unit.step->reserved_until = pass.now + kReservationTimeout;
+  TimePoint until = pass.now + kReservationTimeout;
   for (const size_t n : plan->victims) {
     const PassState::Victim& victim = pass.victims[n];
     if (awaited[n])
-      unit.step->reserved_until = pass.now + max_wait + kEndTolerance;
+      until = pass.now + max_wait + kEndTolerance;
     else
       Preempt(*victim.job, victim.id, pass.now);
     pass.groups[n].members.clear();
   }
-  unit.step->reserved.clear();
+  // Tasks of no gang may have earlier reservations.
+  unit.step->reserved_until = unit.step->reserved.empty()
+                                  ? until
+                                  : std::max(unit.step->reserved_until, until);
   for (const size_t n : plan->placement) {
     unit.step->reserved.push_back(candidates[n].worker->id);
     candidates[n].free -= demand.each;
@@ -575,6 +627,9 @@
                    .revision = job.revision + 1};
     candidate.free -= each;
   }
+  unit.waiting.erase(
+      unit.waiting.begin(),
+      unit.waiting.begin() + static_cast<std::ptrdiff_t>(placement.size()));
   if (job.first_placed_at == TimePoint())
     job.first_placed_at = pass.now;
   job.set_begun();
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -69,7 +69,8 @@
   Attempt failed_attempt;  // Of a gang, the last that was counted as failed.
   TimePoint retry_at;      // Earliest time of the next start.
   TimePoint ready_since;   // All dependencies are done.
-  // Workers reserved for this gang while their runs are stopped, one per task.
+  // Workers reserved for waiting tasks while their runs are stopped, one per
+  // task; of a gang, for all tasks or for none.
   std::vector<WorkerId> reserved;
   TimePoint reserved_until;
   TimePoint reclaim_at;  // Earliest time of the next reclaim.
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -111,6 +111,7 @@
   demand.each = step.resources;
   if (step.fills)
     demand.each.cpu = MilliCores(0);
+  demand.all_or_none = step.gang;
   demand.rack_local = step.rack_local;
   demand.data_rack = step.data_rack;
   demand.required_label = step.required_label;
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -30,6 +30,7 @@
 struct Demand {
   int tasks = 0;
   Resources each;
+  bool all_or_none = true;  // Of a gang: it needs room for all its tasks.
   bool rack_local = false;
   RackId data_rack;
   std::string required_label;
--- a/servers/batch/victims.cc
+++ b/servers/batch/victims.cc
@@ -68,8 +68,11 @@
         if (best_cost == 0)
           break;
       }
-      if (best_cost == std::numeric_limits<double>::infinity())
-        return std::nullopt;
+      if (best_cost == std::numeric_limits<double>::infinity()) {
+        if (demand_.all_or_none || plan_.placement.empty())
+          return std::nullopt;
+        break;
+      }
       Apply(best, best_victims);
     }
     return std::move(plan_);
@@ -160,8 +163,10 @@
     racks[candidates[n].worker->rack].push_back(n);
     all.push_back(n);
   }
-  std::optional<ReclaimPlan> best;
   Search search(candidates, groups, demand);
+  if (!demand.all_or_none)
+    return search.Run(all);
+  std::optional<ReclaimPlan> best;
   for (const auto& [rack, within] : racks) {
     auto plan = search.Run(within);
     if (plan && (!best || plan->cost < best->cost))
--- a/servers/batch/victims.h
+++ b/servers/batch/victims.h
@@ -34,8 +34,9 @@
 };
 
 // The cheapest plan found for all tasks of `demand`, in one rack unless
-// `allow_spread`; nullopt when even stopping all groups does not suffice.
-// Groups without members are passed over.
+// `allow_spread`; nullopt when even stopping all groups does not suffice. Tasks
+// of no gang are planned on any rack, as many as there can be room for; nullopt
+// if there is none. Groups without members are passed over.
 std::optional<ReclaimPlan> PlanReclaim(const std::vector<Candidate>& candidates,
                                        const std::vector<VictimGroup>& groups,
                                        const Demand& demand,
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -41,6 +41,7 @@
   step.tasks = tasks;
   step.resources = {Accelerators(accelerators), MilliCores(7'500),
                     Mebibytes(11'000)};
+  step.gang = true;
   step.rack_local = rack_local;
   return MakeDemand(step, tasks);
 }
@@ -146,6 +147,44 @@
       PlanReclaim(cluster.candidates, groups, GangDemand(1, 8, true), false));
 }
 
+TEST_CASE("A reclaim for independent tasks makes room for as many as it can") {
+  Cluster cluster(2, 1);
+  for (Candidate& it : cluster.candidates)
+    it.free = Resources();
+  const Resources each{Accelerators(8), MilliCores(60'000), Mebibytes(100'000)};
+  std::vector<VictimGroup> groups = {{10, 10, {{0, each}}},
+                                     {20, 20, {{1, each}}}};
+  Demand demand = GangDemand(2, 8, false);
+  demand.all_or_none = false;
+  SUBCASE("all, on any rack") {
+    const auto plan = PlanReclaim(cluster.candidates, groups, demand, false);
+    REQUIRE(plan);
+    CHECK(plan->placement == Placement{0, 1});
+    CHECK(plan->lost_work == 30);
+  }
+  SUBCASE("one, when the other may not be stopped") {
+    groups[0].members.clear();
+    const auto plan = PlanReclaim(cluster.candidates, groups, demand, false);
+    REQUIRE(plan);
+    CHECK(plan->placement == Placement{1});
+    CHECK(plan->victims == std::vector<size_t>{1});
+  }
+  SUBCASE("none, when nothing may be stopped") {
+    for (VictimGroup& it : groups)
+      it.members.clear();
+    CHECK_FALSE(PlanReclaim(cluster.candidates, groups, demand, false));
+  }
+  SUBCASE("no more on a worker than the step allows") {
+    for (VictimGroup& it : groups)
+      it.members = {{0, each}};
+    demand.max_per_worker = 1;
+    demand.each.accelerators = Accelerators(4);
+    const auto plan = PlanReclaim(cluster.candidates, groups, demand, false);
+    REQUIRE(plan);
+    CHECK(plan->placement == Placement{0});
+  }
+}
+
 // Guards against throwing a large gang's work away for a small urgent job.
 TEST_CASE("A reclaim must be worth the work that is lost") {
   ReclaimPlan plan;
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdio>
+#include <set>
 #include <utility>
 
 #include "tests/batch/batch_fixture.h"
@@ -601,6 +602,46 @@
   CHECK(fixture.workers.running() >= 2 + 16);
 }
 
+// Guards against guaranteed tasks outside of gangs that wait until workers
+// become free by themselves.
+TEST_CASE("Guaranteed urgent tasks of no gang begin within three seconds") {
+  LeaderFixture fixture;
+  fixture.run_time = Duration(60'000);
+  fixture.Submit(kJob, MakeJob(32, 1, false), "/sketches/");
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.workers.running() == 32);
+  int tasks = 1;
+  SUBCASE("a single task") {}
+  SUBCASE("several tasks") {
+    tasks = 2;
+  }
+  fixture.Submit(kOtherJob, MakeJob(tasks, 8, false), "/holds/");
+  fixture.Run(Duration(2'600));
+  for (int n = 0; n < tasks; ++n)
+    CHECK(fixture.workers.IsRunning(Task(kOtherJob, n)));
+  CHECK(fixture.workers.running() >= tasks + 32 - 8 * tasks);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against reclaimed workers on which more tasks of a step start than it
+// allows on one.
+TEST_CASE("Reserved workers count towards a step's limit per worker") {
+  LeaderFixture fixture(1, 3);
+  fixture.run_time = Duration(60'000);
+  fixture.Submit(kJob, MakeJob(24, 1, false), "/sketches/");
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.workers.running() == 24);
+  JobSpec spec = MakeJob(3, 2, false);
+  spec.steps[0].max_per_worker = 1;
+  fixture.Submit(kOtherJob, spec, "/holds/");
+  fixture.Run(Duration(2'600));
+  std::set<WorkerId> holders;
+  for (int n = 0; n < 3; ++n)
+    holders.insert(fixture.workers.HolderOf(Task(kOtherJob, n)));
+  CHECK(holders.size() == 3);
+  CHECK_FALSE(holders.contains(WorkerId()));
+}
+
 // Guards against stopping runs for an urgent job that could use the capacity of
 // a run that is about to end.
 TEST_CASE("An urgent job waits for a run that is about to end") {
