Give up tasks under which workers keep crashing

Cause: only ends that a worker reports as failed use up the attempts of a task. A worker that crashes reports nothing; its runs were taken for lost without fault, and nothing counted how often. Losses without fault have no limit on purpose, since workers also go away for reasons of their own.

Change: a loss is judged by when the worker was last heard. If its process has ended and it was not heard later than a second after the start, the task gets two crash points, otherwise one; a worker that is only silent gives none. The points are in the job's state row, so that they outlive the leader. From two points on the task starts on an idle worker where nothing else has just started, and nothing else starts there until the worker has survived the start. With five points, which are three crashes in a row right after its starts, the task is given up and its job has failed.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -68,6 +68,7 @@
       ends_(metrics.GetCounter("quetzalshelf_task_ends_total")),
       failures_(metrics.GetCounter("quetzalshelf_task_failures_total")),
       losses_(metrics.GetCounter("quetzalshelf_task_losses_total")),
+      crashes_(metrics.GetCounter("quetzalshelf_task_crashes_total")),
       reclaims_(metrics.GetCounter("quetzalshelf_reclaims_total")),
       start_delay_(metrics.GetDistribution("quetzalshelf_start_delay_ms")) {
   states_ = std::make_unique<TableFollower>(
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -186,6 +186,12 @@
   std::vector<PlacementUnit> CollectUnits(const PassState& pass);
   std::vector<Candidate>& CandidatesOf(const ServiceName& service,
                                        PassState& pass);
+  // Restricts the demand of a suspect unit so that a crash is told from those
+  // of others, and takes little work with it.
+  void Isolate(const PlacementUnit& unit,
+               const std::vector<Candidate>& candidates,
+               Demand& demand,
+               TimePoint now);
   // Whether the unit may reserve workers until all its tasks fit.
   bool MayReserve(const PlacementUnit& unit, const PassState& pass) const;
   void CollectVictims(PassState& pass, const ServiceName& service);
@@ -269,6 +275,7 @@
   Counter& ends_;
   Counter& failures_;
   Counter& losses_;
+  Counter& crashes_;
   Counter& reclaims_;
   Distribution& start_delay_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -128,7 +128,8 @@
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
   order.lease_until_ms = worker.GrantLease(now, kStartLease);
-  run.ordered = true;
+  if (!std::exchange(run.ordered, true))
+    run.ordered_at = now;
   ++worker.runs;
   run.in_flight = true;
   port_.Start(
@@ -156,8 +157,10 @@
                               const absl::StatusOr<OrderReply>& reply) {
   const TimePoint now = clock_.Now();
   Worker& worker = registry_.FindOrAdd(worker_id, now);
-  if (reply.ok() && reply->clock_ms)
+  if (reply.ok() && reply->clock_ms) {
     worker.ObserveClock(*reply->clock_ms, now);
+    worker.RecordAnswer(now);
+  }
   Run* const run = FindRun(id, attempt, worker_id);
   if (!run)
     return;
@@ -364,14 +367,32 @@
                              const TaskId& id,
                              Attempt attempt,
                              const char* why) {
-  if (!job.ApplyLoss(id, attempt))
+  const TimePoint now = clock_.Now();
+  const TaskProgress* const task = job.Find(id);
+  if (!task || !task->run)
+    return;
+  const Worker& worker = registry_.FindOrAdd(task->run->worker, now);
+  const CrashEvidence evidence = worker.JudgeLoss(*task->run);
+  if (!job.ApplyLoss(id, attempt, evidence))
     return;
   losses_.Add();
   LOG(INFO) << "task " << ToString(id) << " attempt=" << attempt
             << " lost its run: " << why;
+  if (evidence != CrashEvidence::kNone) {
+    crashes_.Add();
+    job.FindStep(id)->crashed_at = now;
+    LOG(WARNING) << "worker " << worker.entry.id << " crashed under task "
+                 << ToString(id) << " attempt=" << attempt
+                 << ": soon_after_start="
+                 << (evidence == CrashEvidence::kStrong)
+                 << " crash_points=" << task->crash_points
+                 << " job=" << ToString(job.phase());
+  }
   // The other members of a gang cannot continue without it.
   if (job.spec(id.step).gang)
-    StopStep(job, id, clock_.Now(), "a member of the gang was lost");
+    StopStep(job, id, now, "a member of the gang was lost");
+  if (job.IsFinal())
+    StopUnfinished(job, now, "the job is over");
   MarkChanged(job);
 }
 
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -44,6 +44,9 @@
 // workers that have succeeded since the burst began. A burst passes within
 // seconds, whereas a failed job is lost.
 constexpr Duration kLastAttemptMaxWait{8'000};
+// A suspect task waits this long for a worker on which nothing has just
+// started; afterwards it may start on any.
+constexpr Duration kIsolationPatience{4'000};
 // Preemptions that are further apart are not in a row.
 constexpr Duration kPreemptionMemory{10'000};
 // Urgent steps are expected to start sooner than this. Also the time between
@@ -120,6 +123,7 @@
   bool late = false;  // Can no longer meet its objective.
   TimePoint objective;
   std::vector<int> waiting;  // Indexes of the tasks to place.
+  bool suspect = false;      // Workers have crashed under them.
 
   auto Rank() const {
     return std::tuple(job->record().priority, !guaranteed, late, objective, id);
@@ -164,8 +168,10 @@
 }
 
 void Dispatcher::ComputeUsage(PassState& pass) {
-  for (auto& [id, worker] : registry_.workers())
+  for (auto& [id, worker] : registry_.workers()) {
     worker.used = Resources();
+    worker.has_unproven_run = worker.has_suspect_run = false;
+  }
   for (const JobId& id : live_) {
     Job& job = *jobs_.at(id);
     for (OccurrenceProgress& occurrence : job.occurrences()) {
@@ -178,8 +184,15 @@
           any_waiting = any_waiting || (!task.done && !task.run);
           if (!task.run)
             continue;
-          if (Worker* const worker = registry_.Find(task.run->worker))
-            worker->used += each;
+          Worker* const worker = registry_.Find(task.run->worker);
+          if (!worker)
+            continue;
+          worker->used += each;
+          if (worker->HasSurvivedStart(*task.run))
+            continue;
+          worker->has_unproven_run = true;
+          worker->has_suspect_run =
+              worker->has_suspect_run || task.is_suspect();
         }
         if (!any_waiting)
           step.reserved.clear();
@@ -256,10 +269,22 @@
         unit.guaranteed = pass.guaranteed.contains(job_id);
         unit.objective = objective;
         unit.late = pass.now + unit.spec->estimate > objective;
+        std::vector<int> suspects;
         for (size_t n = 0; n < step.tasks.size(); ++n) {
-          if (!step.tasks[n].done && !step.tasks[n].run)
+          const TaskProgress& task = step.tasks[n];
+          if (task.done || task.run)
+            continue;
+          unit.suspect = unit.suspect || task.is_suspect();
+          if (task.is_suspect() && !unit.spec->gang)
+            suspects.push_back(static_cast<int>(n));
+          else
             unit.waiting.push_back(static_cast<int>(n));
         }
+        // Suspect tasks start apart from the others of their step.
+        if (unit.waiting.empty())
+          unit.waiting = std::move(suspects);
+        else if (!unit.spec->gang)
+          unit.suspect = false;
         // A gang waits until no run of its last attempt is left.
         const bool whole = unit.waiting.size() == step.tasks.size();
         if (unit.waiting.empty() || (unit.spec->gang && !whole))
@@ -284,7 +309,10 @@
       continue;
     candidates.push_back({&worker.entry, worker.entry.capacity - worker.used,
                           worker.health.Penalty(pass.now),
-                          speeds_.Slowness(id, pass.now)});
+                          speeds_.Slowness(id, pass.now),
+                          worker.has_unproven_run});
+    if (worker.has_suspect_run)
+      candidates.back().Close();
   }
   return candidates;
 }
@@ -340,6 +368,8 @@
     demand.avoid.clear();
   if (unit.spec->gang)
     AvoidUnhealthyWorkers(candidates, demand);
+  if (unit.suspect)
+    Isolate(unit, candidates, demand, pass.now);
   if (CanDefer(unit, pass.now)) {
     const auto [it, added] =
         pass.headroom.try_emplace(unit.job->record().service);
@@ -371,6 +401,23 @@
   return TryReclaim(unit, demand, pass);
 }
 
+void Dispatcher::Isolate(const PlacementUnit& unit,
+                         const std::vector<Candidate>& candidates,
+                         Demand& demand,
+                         TimePoint now) {
+  // Passes go on until the runs on some worker are proven.
+  pass_due_ = true;
+  demand.prefer_idle = true;
+  if (!unit.spec->gang)
+    demand.max_per_worker = 1;
+  if (now - unit.step->crashed_at > kIsolationPatience)
+    return;
+  for (const Candidate& it : candidates) {
+    if (it.has_unproven_run)
+      demand.avoid.insert(it.worker->id);
+  }
+}
+
 bool Dispatcher::MayReserve(const PlacementUnit& unit,
                             const PassState& pass) const {
   if (pass.now < unit.step->reclaim_at)
@@ -626,6 +673,11 @@
                    .phase_since = pass.now,
                    .revision = job.revision + 1};
     candidate.free -= each;
+    candidate.has_unproven_run = true;
+  }
+  if (unit.suspect) {
+    for (const size_t n : placement)
+      candidates[n].Close();
   }
   unit.waiting.erase(
       unit.waiting.begin(),
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -106,6 +106,10 @@
                    << (reply.ok() ? "it refused"
                                   : std::string(reply.status().message()));
     }
+    const bool broke = absl::IsUnknown(reply.status());
+    const bool replaced =
+        reply.ok() && reply->result == OrderResult::kOtherIncarnation;
+    worker.has_ended = worker.has_ended || broke || replaced;
     worker.next_sync = now + kSyncRetryInterval;
     return;
   }
@@ -128,6 +132,8 @@
   worker.ObserveClock(reply->clock_ms, now);
   ApplyEnds(worker, *reply, now);
   ApplyRuns(worker, *reply, sent_event, now);
+  // Runs of a former incarnation are lost by now.
+  worker.RecordAnswer(now);
   RecordEnds(worker);
   if (!worker.pending_ends.empty())
     worker.next_sync = now + kBlockedSyncInterval;
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -18,6 +18,24 @@
                                 JobPhase::kComplete, JobPhase::kFailed,
                                 JobPhase::kCancelled};
 
+constexpr int kWeakCrashPoints = 1;
+constexpr int kStrongCrashPoints = 2;
+// Given up after three crashes right after its start, or five in all. A single
+// coincidence with the crash of a worker must not fail a job.
+constexpr int kFatalCrashPoints = 5;
+
+int CrashPoints(CrashEvidence evidence) {
+  switch (evidence) {
+    case CrashEvidence::kNone:
+      return 0;
+    case CrashEvidence::kWeak:
+      return kWeakCrashPoints;
+    case CrashEvidence::kStrong:
+      return kStrongCrashPoints;
+  }
+  return 0;
+}
+
 // Columns of a task in a state row; tasks without any progress are omitted.
 enum TaskColumn {
   kOccurrence,
@@ -28,7 +46,8 @@
   kFailures,
   kCheckpoint,
   kWorker,  // Empty when the task has no run.
-  kTaskColumns
+  kTaskColumns,
+  kCrashPoints = kTaskColumns  // Left out when there are none.
 };
 
 bool HasProgress(const TaskProgress& task) {
@@ -193,11 +212,13 @@
   return true;
 }
 
-bool Job::ApplyLoss(const TaskId& id, Attempt attempt) {
+bool Job::ApplyLoss(const TaskId& id, Attempt attempt, CrashEvidence evidence) {
   TaskProgress* const task = Find(id);
   if (!task || !task->run || task->run->attempt != attempt)
     return false;
   task->run.reset();
+  task->crash_points += CrashPoints(evidence);
+  KeepFinalPhase();
   return true;
 }
 
@@ -238,8 +259,10 @@
 bool Job::HasFailed() const {
   bool failed = false;
   ForEachTask([&](const TaskId& id, const TaskProgress& task) {
-    failed = failed || (!spec(id.step).long_running && !task.done &&
-                        task.failures >= record_.attempts);
+    const bool out_of_attempts =
+        !spec(id.step).long_running && task.failures >= record_.attempts;
+    failed = failed || (!task.done && (out_of_attempts ||
+                                       task.crash_points >= kFatalCrashPoints));
   });
   return failed;
 }
@@ -322,9 +345,17 @@
     // The phase alone describes a final job without runs.
     if (over || !HasProgress(task))
       return;
-    tasks.push_back({id.occurrence, id.step, id.index, task.done ? 1 : 0,
-                     task.attempt.value(), task.failures, task.checkpoint,
-                     task.run ? task.run->worker.value() : ""});
+    json row = {id.occurrence,
+                id.step,
+                id.index,
+                task.done ? 1 : 0,
+                task.attempt.value(),
+                task.failures,
+                task.checkpoint,
+                task.run ? task.run->worker.value() : ""};
+    if (task.crash_points > 0)
+      row.push_back(task.crash_points);
+    tasks.push_back(std::move(row));
   });
   const json body = {{"workspace", record_.workspace.value()},
                      {"phase", ToString(phase())},
@@ -358,6 +389,8 @@
     task->attempt = Attempt(row[kAttempt].get<uint64_t>());
     task->failures = row[kFailures].get<int>();
     task->checkpoint = row[kCheckpoint].get<std::string>();
+    if (row.size() > kCrashPoints && row[kCrashPoints].is_number())
+      task->crash_points = row[kCrashPoints].get<int>();
     const WorkerId worker(row[kWorker].get<std::string>());
     if (!worker.empty()) {
       task->run = Run{.worker = worker,
@@ -365,6 +398,7 @@
                       .phase = RunPhase::kRecovered,
                       .phase_since = now,
                       .ordered = true,
+                      .ordered_at = now,
                       .started_at = now,
                       .saved_at = now};
     }
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -37,6 +37,7 @@
   TimePoint phase_since;
   uint64_t revision = 0;   // Revision of the job that first stores this run.
   bool ordered = false;    // A start order was sent.
+  TimePoint ordered_at;    // The first one.
   bool in_flight = false;  // An order waits for its answer.
   bool uncertain = false;  // An order timed out without an answer.
   int unsent_tries = 0;    // Starts that could not be sent.
@@ -55,10 +56,25 @@
   }
 };
 
+// What the end of a worker's process says of a task that it ran.
+enum class CrashEvidence {
+  kNone,    // The worker may only have been out of reach.
+  kWeak,    // The worker had run the task for a while.
+  kStrong,  // The worker was not heard again after it had started the task.
+};
+
+// A task with so many points starts only where nothing else has just started,
+// so that a further crash tells who is at fault.
+inline constexpr int kSuspectCrashPoints = 2;
+
 struct TaskProgress {
+  bool is_suspect() const { return crash_points >= kSuspectCrashPoints; }
+
   bool done = false;
   Attempt attempt;  // Highest that was recorded.
   int failures = 0;
+  // Points for workers that have crashed under it.
+  int crash_points = 0;
   std::string checkpoint;
   std::optional<Run> run;
   std::set<WorkerId> failed_on;
@@ -77,6 +93,7 @@
   int preemptions = 0;   // In a row, up to the last one.
   TimePoint preempted_at;
   TimePoint next_speed_check;  // Of a gang, at the progress of its members.
+  TimePoint crashed_at;        // A worker crashed under one of its tasks.
   TimePoint next_wait_log;     // Earliest time of the next line on its wait.
 };
 
@@ -129,8 +146,11 @@
                 EndReason reason,
                 const std::string& checkpoint,
                 const WorkerId& worker);
-  // The run is known to be gone without an end. False when there is none.
-  bool ApplyLoss(const TaskId& task, Attempt attempt);
+  // The run is known to be gone without an end. False when there is none. A
+  // task under which workers crash again and again fails its job.
+  bool ApplyLoss(const TaskId& task,
+                 Attempt attempt,
+                 CrashEvidence evidence = CrashEvidence::kNone);
   void SaveCheckpoint(const TaskId& task,
                       const std::string& checkpoint,
                       TimePoint now);
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -57,8 +57,11 @@
     const Candidate& it = candidates[n];
     const bool far =
         !demand.data_rack.empty() && it.worker->rack != demand.data_rack;
+    const Accelerators used =
+        it.worker->capacity.accelerators - it.free.accelerators;
     keys.emplace_back(it.penalty, demand.urgent ? SpeedClass(it) : 0, far,
-                      free_of_rack[it.worker->rack], it.free.accelerators, n);
+                      demand.prefer_idle ? used : free_of_rack[it.worker->rack],
+                      it.free.accelerators, n);
   }
   std::ranges::sort(keys);
   for (size_t n = 0; n < keys.size(); ++n)
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -24,6 +24,13 @@
   int penalty = 0;
   // Time that a task takes there, relative to a sound worker.
   double slowness = 1;
+  bool has_unproven_run = false;  // Started too recently to rule out a crash.
+
+  // Takes no further tasks; reservations there stay.
+  void Close() {
+    if (Resources().FitsIn(free))
+      free = Resources();
+  }
 };
 
 // What the tasks of one step need.
@@ -41,6 +48,8 @@
   std::set<RackId> avoid_racks;
   // Fast workers are worth more than well-filled ones.
   bool urgent = false;
+  // Idle workers come first: the task may take its worker's work with it.
+  bool prefer_idle = false;
 };
 
 Demand MakeDemand(const StepSpec& step, int tasks);
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -13,6 +13,8 @@
 constexpr int kUnreachableSyncs = 2;
 // A clock that falls back by more than this belongs to a new incarnation.
 constexpr int64_t kClockFallbackMs = 1'000;
+// A task that makes its worker crash does so within this time of its start.
+constexpr Duration kCrashWindow{1'000};
 
 }  // namespace
 
@@ -41,6 +43,7 @@
 
 void Worker::ResetForIncarnation(int64_t incarnation_start_wall_ms) {
   entry.incarnation_start_wall_ms = incarnation_start_wall_ms;
+  has_ended = true;
   has_clock = false;
   recorded_ends = 0;
   applied_ends = 0;
@@ -50,6 +53,22 @@
   sync_soon = true;
 }
 
+void Worker::RecordAnswer(TimePoint now) {
+  heard_at = now;
+  has_ended = false;
+}
+
+bool Worker::HasSurvivedStart(const Run& run) const {
+  return run.ordered && heard_at >= run.ordered_at + kCrashWindow;
+}
+
+CrashEvidence Worker::JudgeLoss(const Run& run) const {
+  const bool received = run.started_at != TimePoint() || run.uncertain;
+  if (!has_ended || entry.draining || !run.ordered || !received)
+    return CrashEvidence::kNone;
+  return HasSurvivedStart(run) ? CrashEvidence::kWeak : CrashEvidence::kStrong;
+}
+
 void Worker::RecordUnreachable() {
   if (synced)
     LOG(WARNING) << "worker " << entry.id << " does not answer orders";
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/time.h"
+#include "servers/batch/job_state.h"
 #include "servers/batch/types.h"
 #include "servers/batch/worker_health.h"
 
@@ -44,6 +45,11 @@
   // All leases granted so far have expired on the worker by then.
   TimePoint leases_end;
 
+  TimePoint heard_at;  // Its last answer.
+  // Since then a connection to it broke or another incarnation has come, so
+  // that its process is likely to have ended.
+  bool has_ended = false;
+
   bool sync_in_flight = false;
   bool contact = false;  // The sync in flight counts in the contact queue.
   bool sync_soon = false;
@@ -67,6 +73,10 @@
   // Tasks with a run there, as of the last tick.
   std::vector<TaskId> assigned;
   Resources used;  // By all runs and reservations; recounted for a pass.
+  // Recounted for a pass: it has not been heard since it started some run, and
+  // this run is of a suspect task.
+  bool has_unproven_run = false;
+  bool has_suspect_run = false;
 
   int64_t EstimateClock(TimePoint now) const;
   // The end of a lease granted now, on the worker's clock; extends
@@ -76,6 +86,13 @@
   // Resets the state for a new incarnation, whose end numbers start again.
   void ResetForIncarnation(int64_t incarnation_start_wall_ms);
 
+  void RecordAnswer(TimePoint now);
+  // Whether it has answered long enough after it started the run to rule out
+  // that the start makes it crash.
+  bool HasSurvivedStart(const Run& run) const;
+  // What a loss of the run says of its task, from what is known by now.
+  CrashEvidence JudgeLoss(const Run& run) const;
+
   // An order did not reach it; it gets no tasks before it answers a sync.
   void RecordUnreachable();
   // Whether it may be given tasks as far as its own state goes.
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -16,6 +16,8 @@
 constexpr Duration kFailTime{200};
 constexpr Duration kLongestLease{6'000};
 constexpr Duration kGangWait{4'000};
+constexpr Duration kCrashDelay{10};
+constexpr Duration kOutage{3'000};
 
 }  // namespace
 
@@ -56,6 +58,15 @@
   }
 }
 
+void ModelWorkers::Crash(const WorkerId& id) {
+  ++crashes_;
+  const int64_t next = workers_[id].entry.incarnation_start_wall_ms + 1;
+  workers_[id].down = true;
+  Restart(id, next);
+  workers_[id].down = true;
+  runner_.PostAfter(kOutage, [this, id] { workers_[id].down = false; });
+}
+
 int64_t ModelWorkers::ClockOf(const ModelWorker& worker) const {
   return (clock_.Now() - worker.clock_start).count();
 }
@@ -72,6 +83,12 @@
     runner_.PostAfter(timeout, no_answer);
     return;
   }
+  if (workers_[id].down) {
+    runner_.PostAfter(answer_time_, [give_up] {
+      give_up(absl::UnavailableError("connection refused"));
+    });
+    return;
+  }
   if (faults.late_orders > 0) {
     --faults.late_orders;
     runner_.PostAfter(timeout, no_answer);
@@ -128,6 +145,10 @@
   }
   runner_.PostAfter(answer_time_, [this, id = worker.id, request, done] {
     ModelWorker& here = workers_[id];
+    if (here.down) {
+      done(absl::UnavailableError("connection refused"));
+      return;
+    }
     if (request.epoch < here.fence) {
       done(batch::SyncReply{.result = OrderResult::kFenced,
                             .clock_ms = ClockOf(here)});
@@ -150,7 +171,11 @@
     }
     auto answered = std::make_shared<bool>(false);
     const auto answer = [this, id, done, answered] {
-      if (!std::exchange(*answered, true))
+      if (std::exchange(*answered, true))
+        return;
+      if (workers_[id].down)
+        done(absl::UnknownError("the connection broke"));
+      else
         done(Snapshot(workers_[id]));
     };
     here.waiting.push_back(answer);
@@ -225,6 +250,12 @@
          gang_size,
          gang_size <= 1};
   const WorkerId& id = worker.entry.id;
+  if (deadly_ && deadly_(order.task)) {
+    runner_.PostAfter(kCrashDelay, [this, id, life = worker.life] {
+      if (workers_[id].life == life)
+        Crash(id);
+    });
+  }
   if (worker.faults.fails_tasks)
     EndAfter(kFailTime, id, order.task, EndReason::kFailed);
   else if (gang_size > 1)
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -42,10 +42,21 @@
   // Gangs work only while all members are present, and end together. Without
   // this each task counts as independent.
   void set_gang_size(GangSize size) { gang_size_ = std::move(size); }
+  // Tasks that crash each worker soon after it starts them.
+  using DeadlyTasks = std::function<bool(const batch::TaskId&)>;
+  void set_deadly_tasks(DeadlyTasks deadly) { deadly_ = std::move(deadly); }
+  int crashes() const { return crashes_; }
+  // What the worker would tell the platform of itself.
+  const batch::WorkerEntry& entry(const WorkerId& id) const {
+    return workers_.at(id).entry;
+  }
   void Add(const batch::WorkerEntry& entry);
   // Crashes the worker and starts it again under the same id: it runs and
   // knows nothing of before, and its clock and counts start anew.
   void Restart(const WorkerId& id, int64_t incarnation_start_wall_ms);
+  // The worker refuses connections for some seconds, then is back as a new
+  // incarnation.
+  void Crash(const WorkerId& id);
   ModelWorkerFaults& faults(const WorkerId& id) { return workers_[id].faults; }
 
   void Start(const batch::WorkerEntry& worker,
@@ -96,6 +107,7 @@
     batch::WorkerEntry entry;
     ModelWorkerFaults faults;
     uint64_t life = 0;      // Grows with each restart.
+    bool down = false;      // Crashed and not yet back.
     TimePoint clock_start;  // When the worker's clock showed 0.
     Epoch fence;
     TimePoint lease_until;
@@ -136,6 +148,8 @@
   Duration answer_time_;
   RunTime run_time_;
   GangSize gang_size_;
+  DeadlyTasks deadly_;
+  int crashes_ = 0;
   std::map<WorkerId, ModelWorker> workers_;
   std::map<batch::TaskId, int> starts_;
   std::map<batch::TaskId, TimePoint> first_start_;
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -140,6 +140,11 @@
 
 void BatchFixture::Run(Duration duration) {
   for (Duration passed{0}; passed < duration; passed += kStep) {
+    for (WorkerEntry& it : listed) {
+      if (workers.crashes() > 0)
+        it.incarnation_start_wall_ms =
+            workers.entry(it.id).incarnation_start_wall_ms;
+    }
     if (!store.faults().refuse)
       site.Confirm(runner.Now());
     for (Node& it : nodes) {
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -358,6 +358,74 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against a task that crashes one worker after the other.
+TEST_CASE("A task that crashes its workers is given up after a few starts") {
+  LeaderFixture fixture;
+  fixture.run_time = Duration(4'000);
+  bool gang = false;
+  SUBCASE("a single task") {}
+  SUBCASE("a member of a gang") {
+    gang = true;
+  }
+  fixture.workers.set_gang_size([gang](const StartOrder& it) {
+    return gang && it.task.job == JobId(kJob) ? 3 : 0;
+  });
+  fixture.workers.set_deadly_tasks(
+      [](const TaskId& it) { return it == Task(kJob, 0); });
+  fixture.Submit(kJob, MakeJob(3, 4, gang));
+  CHECK(fixture.RunUntilFinal(kJob, Duration(40'000)) == JobPhase::kFailed);
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 3);
+  fixture.Run(Duration(10'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 3);
+  CHECK(fixture.workers.running() == 0);
+}
+
+// Guards against a count of crashes that is lost with the leader.
+TEST_CASE("A new leader goes on counting the crashes under a task") {
+  LeaderFixture fixture;
+  fixture.AddNode("n2");
+  fixture.workers.set_deadly_tasks(
+      [](const TaskId& it) { return it == Task(kJob, 0); });
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  for (int n = 0; n < 600 && fixture.workers.starts(Task(kJob, 0)) < 3; ++n)
+    fixture.Run(Duration(100));
+  REQUIRE(fixture.workers.starts(Task(kJob, 0)) == 3);
+  fixture.Kill(static_cast<size_t>(fixture.Leader()));
+  CHECK(fixture.RunUntilFinal(kJob, Duration(40'000)) == JobPhase::kFailed);
+  CHECK(fixture.workers.starts(Task(kJob, 0)) <= 5);
+}
+
+// Guards against giving up tasks that only ran beside one that crashes workers.
+TEST_CASE("Tasks beside one that crashes its workers are completed") {
+  LeaderFixture fixture(2, 3);
+  fixture.run_time = Duration(3'000);
+  fixture.workers.set_deadly_tasks(
+      [](const TaskId& it) { return it == Task(kJob, 0); });
+  // Placed in the same pass, on the same worker.
+  fixture.Submit(kJob, MakeJob(1, 1, false));
+  fixture.Submit(kOtherJob, MakeJob(2, 1, false));
+  CHECK(fixture.RunUntilFinal(kOtherJob, Duration(40'000)) ==
+        JobPhase::kComplete);
+  CHECK(fixture.RunUntilFinal(kJob, Duration(40'000)) == JobPhase::kFailed);
+  CHECK(fixture.workers.starts(Task(kOtherJob, 0)) <= 2);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against giving up the tasks of workers that often go down.
+TEST_CASE("Tasks of workers that crash in the course of their work go on") {
+  LeaderFixture fixture;
+  fixture.run_time = Duration(4'000);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  for (int n = 0; n < 4; ++n) {
+    while (!fixture.workers.IsRunning(Task(kJob, 0)))
+      fixture.Run(Duration(100));
+    fixture.Run(Duration(2'500));
+    REQUIRE(fixture.workers.IsRunning(Task(kJob, 0)));
+    fixture.workers.Crash(fixture.workers.HolderOf(Task(kJob, 0)));
+  }
+  CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
+}
+
 // Guards against runs of a cancelled job that go on or start again.
 TEST_CASE("A cancelled job is stopped and reported as cancelled") {
   LeaderFixture fixture;
