--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include "platform/caller_api.h"
 #include "platform/entry_settings.h"
 #include "platform/site_codec.h"
@@ -46,6 +48,50 @@
   }
 }
 
+// Guards against numbers of another writer that overflow, or that are cut to
+// another port.
+TEST_CASE("Entries with numbers out of range name no worker") {
+  const auto entry = [](const std::string& addr, const std::string& more) {
+    return R"({"service":"d","addr":")" + addr +
+           R"(","zone":"z","state":"ready")" + more + "}";
+  };
+  Findings none;
+  REQUIRE(DecodeWorkerEntry(WorkerId("i-1"), entry("1.1.1.1:65535", ""), none));
+  for (const std::string& value :
+       {entry("1.1.1.1:65536", ""), entry("1.1.1.1:70000", ""),
+        entry("1.1.1.1:-80", ""), entry("1.1.1.1:99999999999", ""),
+        entry("1.1.1.1:80", R"(,"born":1e300)"),
+        entry("1.1.1.1:80", R"(,"born":18446744073709551615)"),
+        entry("1.1.1.1:80", R"(,"remaining_ms":-1e300)"),
+        entry("1.1.1.1:80", R"(,"capacity":{"gpu":1e300})"),
+        entry("1.1.1.1:80", R"(,"capacity":{"cpu":9223372036854775807})"),
+        entry("1.1.1.1:80", R"(,"capacity":{"mem_mb":-1})"),
+        entry("1.1.1.1:80", R"(,"born":1e999)")}) {
+    CAPTURE(value);
+    Findings findings;
+    CHECK_FALSE(DecodeWorkerEntry(WorkerId("i-1"), value, findings));
+    CHECK_FALSE(findings.empty());
+  }
+}
+
+// Guards against a stack that overflows on a deeply nested entry.
+TEST_CASE("A deeply nested entry ends no process") {
+  constexpr size_t kDepth = 100'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  Findings findings;
+  CHECK_FALSE(DecodeWorkerEntry(WorkerId("i-1"), nested, findings));
+  CHECK_FALSE(
+      DecodeWorkerEntry(WorkerId("i-1"), std::string(kDepth, '['), findings));
+  CHECK_FALSE(DecodeWorkerEntry(
+      WorkerId("i-1"),
+      R"({"service":"d","addr":"1.1.1.1:80","zone":"z","state":"ready",)"
+      R"("labels":)" +
+          nested + "}",
+      findings));
+  CHECK_FALSE(DecodeSubmission(nested, findings));
+}
+
 TEST_CASE("A configuration is decoded whole or not at all") {
   Findings findings;
   const auto config = DecodeSiteConfig(
@@ -96,6 +142,10 @@
        {"", "[]", "{}", R"({"phases":[{}]})", R"({"phases":[{"count":0}]})",
         R"({"phases":[{"count":1,"depends_on":[0]}]})",
         R"({"phases":[{"count":1,"depends_on":["x"]}]})",
+        R"({"phases":[{"count":1,"gpu":1e300}]})",
+        R"({"phases":[{"count":1,"gpu":9007199254740993}]})",
+        R"({"phases":[{"count":1,"max_per_server":1e12}]})",
+        R"({"phases":[{"count":1}],"repeats":9,"period_ms":1e15})",
         R"({"phases":[{"count":"many"}]})"}) {
     CAPTURE(body);
     Findings findings;
