Keep a reservation while the stops for it take effect

Cause: a reservation that counted on some run to end by itself expired after the mean time of a stop plus a tolerance. Where stops take longer than their mean, it expired while they were under way. The next plan left out the workers whose runs were already being stopped and stopped others instead, up to three times in a row.

Change: the reservation stays. Runs that were awaited and go on are stopped, and nothing else. Guaranteed work no longer awaits runs that it may not stop. The rest of a reservation's life is unchanged.

The new test "Slow stops do not make a guaranteed gang stop others" failed before: the reservation was cancelled after 0.65 s, a third run was stopped, and the gang did not run after 1.1 s."

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -215,6 +215,8 @@
   bool TryStartReserved(PlacementUnit& unit, PassState& pass);
   // Starts tasks of no gang on the reserved workers that have room by now.
   void StartReservedTasks(PlacementUnit& unit, PassState& pass);
+  // Stops the runs that a reservation has awaited for long enough.
+  void StopOverrunning(StepProgress& step, TimePoint now);
   // Stops a run, or a gang, for urgent work.
   void Preempt(Job& job, const TaskId& id, TimePoint now);
   // Reserves workers for the unit and stops what runs there. Returns why it
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -23,8 +23,8 @@
 constexpr double kRestartCost = 10;
 // A reservation expires after this time; stopping runs takes under 1 s.
 constexpr Duration kReservationTimeout{2'500};
-// Runs expected to end by themselves may overrun by this much before the
-// reservation expires and other runs are stopped instead.
+// Runs expected to end by themselves may overrun by this much before they are
+// stopped, or before the reservation expires if they may not be.
 constexpr Duration kEndTolerance{250};
 // Minimum time between two reclaim attempts for a step.
 constexpr Duration kReclaimRetryInterval{60};
@@ -461,6 +461,7 @@
 
 bool Dispatcher::TryStartReserved(PlacementUnit& unit, PassState& pass) {
   StepProgress& step = *unit.step;
+  StopOverrunning(step, pass.now);
   std::vector<Candidate>& candidates =
       CandidatesOf(unit.job->record().service, pass);
   const Resources each = MakeDemand(*unit.spec, 1).each;
@@ -493,6 +494,9 @@
 
 void Dispatcher::StartReservedTasks(PlacementUnit& unit, PassState& pass) {
   StepProgress& step = *unit.step;
+  if (step.reserved.empty())
+    return;
+  StopOverrunning(step, pass.now);
   std::vector<Candidate>& candidates =
       CandidatesOf(unit.job->record().service, pass);
   const Demand one = MakeDemand(*unit.spec, 1);
@@ -588,19 +592,20 @@
   const Duration max_wait = may_stop ? mean_stop_time_ : kMaxHoldWait;
   std::vector<VictimGroup> groups = pass.groups;
   std::vector<bool> awaited(groups.size());
+  std::vector<bool> stoppable(groups.size());
   for (size_t n = 0; n < groups.size(); ++n) {
     const PassState::Victim& victim = pass.victims[n];
-    awaited[n] = victim.time_left <= max_wait;
-    if (awaited[n]) {
-      groups[n].cost = groups[n].lost_work = 0;
-      continue;
-    }
     // Guaranteed work may also stop unguaranteed runs of its own priority.
-    const bool allowed =
+    stoppable[n] =
         may_stop && (victim.priority > priority ||
                      (unit.guaranteed && victim.priority == priority &&
                       !victim.guaranteed));
-    if (!allowed)
+    // Guaranteed work must not depend on runs that it may not stop.
+    awaited[n] =
+        victim.time_left <= max_wait && (stoppable[n] || !unit.guaranteed);
+    if (awaited[n])
+      groups[n].cost = groups[n].lost_work = 0;
+    else if (!stoppable[n])
       groups[n].members.clear();
   }
   const bool allow_spread =
@@ -621,21 +626,27 @@
             << " lost_core_s=" << plan->lost_work
             << " guaranteed=" << unit.guaranteed
             << " waited_ms=" << waited.count();
+  StepProgress& step = *unit.step;
   TimePoint until = pass.now + kReservationTimeout;
+  // Tasks of no gang may have earlier reservations.
+  if (step.reserved.empty())
+    step.awaited.clear();
   for (const size_t n : plan->victims) {
     const PassState::Victim& victim = pass.victims[n];
-    if (awaited[n])
-      until = pass.now + max_wait + kEndTolerance;
-    else
+    if (!awaited[n]) {
       Preempt(*victim.job, victim.id, pass.now);
+    } else if (stoppable[n]) {
+      step.awaited.push_back({victim.id, victim.job->Find(victim.id)->attempt});
+      step.await_until = pass.now + max_wait + kEndTolerance;
+    } else {
+      until = pass.now + max_wait + kEndTolerance;
+    }
     pass.groups[n].members.clear();
   }
-  // Tasks of no gang may have earlier reservations.
-  unit.step->reserved_until = unit.step->reserved.empty()
-                                  ? until
-                                  : std::max(unit.step->reserved_until, until);
+  step.reserved_until =
+      step.reserved.empty() ? until : std::max(step.reserved_until, until);
   for (const size_t n : plan->placement) {
-    unit.step->reserved.push_back(candidates[n].worker->id);
+    step.reserved.push_back(candidates[n].worker->id);
     candidates[n].free -= demand.each;
   }
   if (!may_stop)
@@ -643,6 +654,25 @@
   return nullptr;
 }
 
+void Dispatcher::StopOverrunning(StepProgress& step, TimePoint now) {
+  if (step.awaited.empty())
+    return;
+  if (now < step.await_until) {
+    pass_due_ = true;
+    return;
+  }
+  for (const auto& [id, attempt] : std::exchange(step.awaited, {})) {
+    Job* const job = FindJob(id.job);
+    const TaskProgress* const task = job ? job->Find(id) : nullptr;
+    const bool runs =
+        task && task->attempt == attempt &&
+        (job->spec(id.step).gang ? Job::HasRuns(*job->FindStep(id))
+                                 : task->run.has_value());
+    if (runs)
+      Preempt(*job, id, now);
+  }
+}
+
 void Dispatcher::Preempt(Job& job, const TaskId& id, TimePoint now) {
   StepProgress& step = *job.FindStep(id);
   if (now - step.preempted_at > kPreemptionMemory)
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -89,6 +89,14 @@
   // task; of a gang, for all tasks or for none.
   std::vector<WorkerId> reserved;
   TimePoint reserved_until;
+  // Runs on reserved workers that are expected to end by themselves. They are
+  // stopped if they go on after `await_until`.
+  struct AwaitedRun {
+    TaskId id;  // Of a run, or of a step when it is a gang.
+    Attempt attempt;
+  };
+  std::vector<AwaitedRun> awaited;
+  TimePoint await_until;
   TimePoint reclaim_at;  // Earliest time of the next reclaim.
   int preemptions = 0;   // In a row, up to the last one.
   TimePoint preempted_at;
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -12,7 +12,6 @@
 using batch::OrderReply;
 using batch::OrderResult;
 
-constexpr Duration kStopTime{300};
 constexpr Duration kFailTime{200};
 constexpr Duration kLongestLease{6'000};
 constexpr Duration kGangWait{4'000};
@@ -334,13 +333,14 @@
   const auto it = worker.runs.find(order.task);
   if (it == worker.runs.end() || it->second.attempt > order.attempt)
     return reply;
-  runner_.PostAfter(kStopTime, [this, id = worker.entry.id, task = order.task,
+  runner_.PostAfter(
+      worker.faults.stop_time, [this, id = worker.entry.id, task = order.task,
                                 serial = it->second.serial] {
-    ModelWorker& here = workers_[id];
-    const auto run = here.runs.find(task);
-    if (run != here.runs.end() && run->second.serial == serial)
-      End(here, task, EndReason::kStopped);
-  });
+        ModelWorker& here = workers_[id];
+        const auto run = here.runs.find(task);
+        if (run != here.runs.end() && run->second.serial == serial)
+          End(here, task, EndReason::kStopped);
+      });
   return reply;
 }
 
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -21,6 +21,7 @@
   bool fails_tasks = false;   // All that it starts fails soon.
   bool stands_still = false;  // What it starts makes no progress.
   bool refuses = false;       // It refuses to start anything.
+  Duration stop_time{300};
   int late_orders = 0;  // So many orders are carried out late, unanswered.
   Duration lateness{3'000};
   // Late orders reach the next life of the worker; else they die with the
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -732,6 +732,32 @@
   CHECK(fixture.RunUntilFinal(ending, kLong) == JobPhase::kComplete);
 }
 
+// Guards against a reservation that is given up, and made again in the place of
+// other runs, before the stops for it have taken effect.
+TEST_CASE("Slow stops do not make a guaranteed gang stop others") {
+  LeaderFixture fixture(1, 4);
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).stop_time = Duration(900);
+  fixture.run_time = Duration(20'000);
+  const std::string ending = "00000000000000d0";
+  fixture.Submit(ending, MakeJob(1, 8, false), "/sketches/");
+  fixture.Run(Duration(14'000));
+  fixture.Submit(kJob, MakeJob(3, 8, false), "/sketches/");
+  fixture.Run(fixture.workers.first_start(Task(ending, 0)) + Duration(19'850) -
+              fixture.runner.Now());
+  REQUIRE(fixture.workers.running() == 4);
+  fixture.Submit(kOtherJob, MakeJob(2, 8, true), "/holds/");
+  fixture.Run(Duration(1'100));
+  int stopped = 0;
+  CHECK(fixture.workers.IsRunning(Task(kOtherJob, 0)));
+  CHECK(fixture.workers.IsRunning(Task(kOtherJob, 1)));
+  // One run has ended, one was stopped; the others go on.
+  for (int n = 0; n < 3; ++n)
+    stopped += fixture.workers.IsRunning(Task(kJob, n)) ? 0 : 1;
+  CHECK(stopped == 1);
+  CHECK(fixture.workers.IsDone(Task(ending, 0)));
+}
+
 // Guards against starvation of a gang: it needs several whole workers, while
 // small tasks of the same queue take all capacity that becomes free.
 TEST_CASE("A large gang gets its turn among many small jobs") {
