Spread a gang over racks when there is ample room elsewhere

Cause: a gang that runs slower over several racks was placed within one rack or not at all, as long as some rack could hold it when empty. With small tasks on most workers, 6 to 13 whole workers were free for seconds, but no three (or five) of one rack. Likewise a deferrable gang keeps out of the emptiest racks however much is free there.

Change: a gang waits for a rack, or for the end of its deferral, for at most 2 s while less than half of the capacity is in use and tasks twice as many would find room. Then it is placed wherever it fits.

The new test "A rack-local gang is spread when most workers stay idle" failed before.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -186,6 +186,11 @@
   std::vector<PlacementUnit> CollectUnits(const PassState& pass);
   std::vector<Candidate>& CandidatesOf(const ServiceName& service,
                                        PassState& pass);
+  // Whether a gang has waited for long although there is ample room.
+  bool HasOutwaitedRoom(const PlacementUnit& unit,
+                        const std::vector<Candidate>& candidates,
+                        const Demand& demand,
+                        TimePoint now);
   // Restricts the demand of a suspect unit so that a crash is told from those
   // of others, and takes little work with it.
   void Isolate(const PlacementUnit& unit,
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -13,9 +13,6 @@
 
 namespace {
 
-// Cores that one accelerator counts for when work is weighted, as in the
-// platform's prices.
-constexpr double kCoresPerAccelerator = 8;
 // Factor by which stopping a run costs more per level of priority.
 constexpr double kPriorityWeight = 4;
 constexpr int kLowestPriority = 2;
@@ -47,6 +44,9 @@
 // A suspect task waits this long for a worker on which nothing has just
 // started; afterwards it may start on any.
 constexpr Duration kIsolationPatience{4'000};
+// A gang waits this long for a rack or for the end of its deferral while there
+// is ample room. Then even a slow run is better than none.
+constexpr Duration kIdlePatience{2'000};
 // Preemptions that are further apart are not in a row.
 constexpr Duration kPreemptionMemory{10'000};
 // Urgent steps are expected to start sooner than this. Also the time between
@@ -56,12 +56,6 @@
 // differ slightly.
 constexpr int64_t kDueMarginMs = 30;
 
-// Cores that a task takes, accelerators included.
-double WeighCores(const Resources& each) {
-  return static_cast<double>(each.cpu.value()) / 1000.0 +
-         kCoresPerAccelerator * static_cast<double>(each.accelerators.value());
-}
-
 double Seconds(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
@@ -370,7 +364,10 @@
     AvoidUnhealthyWorkers(candidates, demand);
   if (unit.suspect)
     Isolate(unit, candidates, demand, pass.now);
-  if (CanDefer(unit, pass.now)) {
+  const bool can_defer = CanDefer(unit, pass.now);
+  const bool outwaited = (can_defer || demand.rack_local) &&
+                         HasOutwaitedRoom(unit, candidates, demand, pass.now);
+  if (can_defer && !outwaited) {
     const auto [it, added] =
         pass.headroom.try_emplace(unit.job->record().service);
     if (added)
@@ -389,7 +386,7 @@
     AvoidUnhealthyWorkers(candidates, demand);
   } else {
     const bool allow_spread =
-        demand.rack_local && !FitsSomeRack(candidates, demand);
+        demand.rack_local && (outwaited || !FitsSomeRack(candidates, demand));
     if (const auto placement =
             PlaceGangOnHealthyWorkers(unit, demand, allow_spread, pass)) {
       Assign(unit, *placement, pass);
@@ -405,19 +402,36 @@
                          const std::vector<Candidate>& candidates,
                          Demand& demand,
                          TimePoint now) {
-  // Passes go on until the runs on some worker are proven.
-  pass_due_ = true;
   demand.prefer_idle = true;
   if (!unit.spec->gang)
     demand.max_per_worker = 1;
   if (now - unit.step->crashed_at > kIsolationPatience)
     return;
+  // Passes go on until the runs on some worker are proven.
+  pass_due_ = true;
   for (const Candidate& it : candidates) {
     if (it.has_unproven_run)
       demand.avoid.insert(it.worker->id);
   }
 }
 
+bool Dispatcher::HasOutwaitedRoom(const PlacementUnit& unit,
+                                  const std::vector<Candidate>& candidates,
+                                  const Demand& demand,
+                                  TimePoint now) {
+  StepProgress& step = *unit.step;
+  if (!unit.spec->gang || Job::HasRuns(step) ||
+      !HasAmpleRoom(candidates, demand)) {
+    step.idle_since = TimePoint();
+    return false;
+  }
+  if (step.idle_since == TimePoint())
+    step.idle_since = now;
+  const bool outwaited = now - step.idle_since >= kIdlePatience;
+  pass_due_ = pass_due_ || !outwaited;
+  return outwaited;
+}
+
 bool Dispatcher::MayReserve(const PlacementUnit& unit,
                             const PassState& pass) const {
   if (pass.now < unit.step->reclaim_at)
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -14,6 +14,9 @@
 
 // Differences of speed below this share of a sound worker's are passed over.
 constexpr double kSpeedClassWidth = 0.2;
+// Cores that one accelerator counts for when capacity is weighed, as in the
+// platform's prices.
+constexpr double kCoresPerAccelerator = 8;
 constexpr int kNoLimit = std::numeric_limits<int>::max();
 
 template <typename Amount>
@@ -239,6 +242,27 @@
   return chosen;
 }
 
+double WeighCores(const Resources& amount) {
+  return static_cast<double>(amount.cpu.value()) / 1000.0 +
+         kCoresPerAccelerator *
+             static_cast<double>(amount.accelerators.value());
+}
+
+bool HasAmpleRoom(const std::vector<Candidate>& candidates,
+                  const Demand& demand) {
+  double free = 0;
+  double capacity = 0;
+  for (const Candidate& it : candidates) {
+    free += WeighCores(it.free);
+    capacity += WeighCores(it.worker->capacity);
+  }
+  if (free * 2 <= capacity)
+    return false;
+  Demand twice = demand;
+  twice.tasks *= 2;
+  return HasRoomForAll(candidates, twice);
+}
+
 bool FitsSomeRack(const std::vector<Candidate>& candidates,
                   const Demand& demand) {
   std::map<RackId, int> totals;
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -52,6 +52,9 @@
   bool prefer_idle = false;
 };
 
+// Capacity in cores, accelerators included.
+double WeighCores(const Resources& amount);
+
 Demand MakeDemand(const StepSpec& step, int tasks);
 
 // Whether `demand` allows tasks on the worker at all.
@@ -79,6 +82,11 @@
 std::set<RackId> ChooseHeadroom(const std::vector<Candidate>& candidates,
                                 double share);
 
+// Whether less than half of the capacity is in use and tasks twice as many as
+// those of `demand` would find room, on any racks.
+bool HasAmpleRoom(const std::vector<Candidate>& candidates,
+                  const Demand& demand);
+
 // Whether some rack could hold the whole demand if it were empty.
 bool FitsSomeRack(const std::vector<Candidate>& candidates,
                   const Demand& demand);
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -781,6 +781,33 @@
   CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
 }
 
+// Guards against a gang that waits for room within one rack while most of the
+// workers are idle.
+TEST_CASE("A rack-local gang is spread when most workers stay idle") {
+  LeaderFixture fixture(4, 3);
+  fixture.run_time = Duration(60'000);
+  int jobs = 0;
+  for (const char* rack : {"r1-0", "r1-1", "r1-2", "r1-3"}) {
+    JobSpec spec = MakeJob(1, 8, false);
+    spec.steps[0].data_rack = RackId(rack);
+    fixture.Submit("00000000000000e" + std::to_string(jobs++), spec, "/holds/");
+  }
+  fixture.Run(Duration(500));
+  REQUIRE(fixture.workers.running() == 4);
+  JobSpec gang = MakeJob(3, 8, true);
+  gang.steps[0].rack_local = true;
+  SUBCASE("work that may be deferred") {
+    gang.steps[0].estimate = Duration(20'000);
+  }
+  SUBCASE("work that is short of time") {}
+  fixture.Submit(kJob, gang);
+  fixture.Run(Duration(1'000));
+  CHECK(fixture.workers.running() == 4);
+  fixture.Run(Duration(1'800));
+  for (int n = 0; n < 3; ++n)
+    CHECK(fixture.workers.IsRunning(Task(kJob, n)));
+}
+
 // Guards against a cold start of a large fleet in which the leader's VM cannot
 // make all connections in time and repeats them.
 TEST_CASE("A new leader contacts a large fleet a part at a time") {
