Name the time since which a gang waits beside ample room

The field and its limit were named after idle workers, but the condition is room for twice the tasks.

--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -46,7 +46,7 @@
 constexpr Duration kIsolationPatience{4'000};
 // A gang waits this long for a rack or for the end of its deferral while there
 // is ample room. Then even a slow run is better than none.
-constexpr Duration kIdlePatience{2'000};
+constexpr Duration kAmpleRoomPatience{2'000};
 // Preemptions that are further apart are not in a row.
 constexpr Duration kPreemptionMemory{10'000};
 // Urgent steps are expected to start sooner than this. Also the time between
@@ -422,12 +422,12 @@
   StepProgress& step = *unit.step;
   if (!unit.spec->gang || Job::HasRuns(step) ||
       !HasAmpleRoom(candidates, demand)) {
-    step.idle_since = TimePoint();
+    step.ample_room_since = TimePoint();
     return false;
   }
-  if (step.idle_since == TimePoint())
-    step.idle_since = now;
-  const bool outwaited = now - step.idle_since >= kIdlePatience;
+  if (step.ample_room_since == TimePoint())
+    step.ample_room_since = now;
+  const bool outwaited = now - step.ample_room_since >= kAmpleRoomPatience;
   pass_due_ = pass_due_ || !outwaited;
   return outwaited;
 }
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -101,7 +101,7 @@
   int preemptions = 0;   // In a row, up to the last one.
   TimePoint preempted_at;
   TimePoint next_speed_check;  // Of a gang, at the progress of its members.
-  TimePoint idle_since;        // It waits although there is ample room.
+  TimePoint ample_room_since;  // It waits although there is ample room.
   TimePoint crashed_at;        // A worker crashed under one of its tasks.
   TimePoint next_wait_log;     // Earliest time of the next line on its wait.
 };
