Store the limit of unavailable tasks under the project's name

Cause: the row of a job kept this limit under the platform's name for it, outside of platform/. Change: the row uses the name of the field in memory. Nothing acts on the limit yet, and other nodes ignore fields that they do not know, so that rows of either version stay readable during an upgrade; a job stored before it keeps 0 there.

--- a/servers/batch/job_codec.cc
+++ b/servers/batch/job_codec.cc
@@ -44,7 +44,7 @@
   PutIf(json, "max_per_worker", int64_t{step.max_per_worker});
   PutIf(json, "image", step.image);
   PutIf(json, "latency_target_ms", step.latency_target.count());
-  PutIf(json, "may_miss", int64_t{step.max_unavailable});
+  PutIf(json, "max_unavailable", int64_t{step.max_unavailable});
   return json;
 }
 
@@ -75,7 +75,7 @@
   step.max_per_worker = ReadInt(reader, "max_per_worker");
   step.image = reader.OptionalString("image");
   step.latency_target = Duration(ReadInt(reader, "latency_target_ms"));
-  step.max_unavailable = ReadInt(reader, "may_miss");
+  step.max_unavailable = ReadInt(reader, "max_unavailable");
   return step;
 }
 
--- a/tests/batch/job_state_test.cc
+++ b/tests/batch/job_state_test.cc
@@ -178,6 +178,7 @@
   step.required_label = "a";
   step.data_rack = RackId("r1-2");
   step.max_per_worker = 2;
+  step.max_unavailable = 3;
   record.spec.recurrence = {4, 1'700'000'000'000, Duration(4'500)};
   Findings findings;
   const auto read =
@@ -185,6 +186,7 @@
   REQUIRE(read);
   CHECK(findings.empty());
   CHECK(EncodeJobRecord(*read) == EncodeJobRecord(record));
+  CHECK(read->spec.steps[0].max_unavailable == 3);
   CHECK_FALSE(DecodeJobRecord(record.id, "{}", findings));
   CHECK_FALSE(findings.empty());
 }
