--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,7 +1,8 @@
-// A job is cancelled while the worker of its task is cut off, and the leader
-// loses power before the cut ends.
+// The leader's machine stands still for a moment while more than 500 small
+// tasks end on one worker, which lists 500 ends at a time.
 
 #include <string>
+#include <vector>
 
 #include "review/common/rig.h"
 
@@ -9,68 +10,68 @@
 
 namespace {
 
-constexpr Duration kCut{3'000};
-constexpr Duration kLeaderLives{800};  // After the cancelling.
-constexpr Duration kPowerless{3'500};
-constexpr Duration kWatch{20'000};
+constexpr int kJobs = 24;
+constexpr int kTasks = 50;
+constexpr Duration kStartLimit{2'000};
+constexpr Duration kRunTime{8'000};
+// Below the silence after which another node takes over.
+constexpr Duration kFreeze{500};
 
 int Run(const std::string& work_dir, const std::string& record) {
-  Rig rig(work_dir, record,
-          [](const batch::TaskId&) { return Duration(600'000); });
+  Rig rig(work_dir, record, [](const batch::TaskId&) { return kRunTime; });
   if (!rig.Start())
     return rig.GiveUp("the deployment did not start");
-  JobShape lasting{.accelerators = 1, .estimate_ms = 60'000};
-  lasting.step = {{"long_running", true}};
-  const std::string id = rig.NewJobId();
-  const std::string path = kPatient + id;
-  if (rig.CallAny("POST", path, Rig::Encode(lasting)).status != 200)
-    return rig.GiveUp("the job was not accepted");
-  const batch::TaskId task{JobId(id)};
-  if (!rig.WaitUntil(Duration(5'000),
-                     [&] { return rig.model().IsRunning(task); }))
-    return rig.GiveUp("the task was not started");
-  rig.Wait(Duration(2'000));
-  const WorkerId worker = rig.model().HolderOf(task);
+  std::vector<std::string> jobs;
+  for (int n = 0; n < kJobs; ++n) {
+    jobs.push_back(kPatient + rig.NewJobId());
+    const JobShape shape{.tasks = kTasks,
+                         .estimate_ms = static_cast<int>(kRunTime.count())};
+    if (rig.CallAny("POST", jobs.back(), Rig::Encode(shape)).status != 200)
+      return rig.GiveUp("a job was not accepted");
+    // One job after the other, so that a worker never has over 64 calls at
+    // once.
+    const bool started = rig.WaitUntil(kStartLimit, [&rig, n] {
+      return rig.model().total_starts() >= (n + 1) * kTasks;
+    });
+    if (!started)
+      return rig.GiveUp("a job was not started");
+  }
+  const TimePoint first = rig.model().first_start(
+      {JobId(jobs.front().substr(std::string(kPatient).size()))});
   Node* const leader = rig.Leader();
   if (leader == nullptr)
     return rig.GiveUp("no node leads");
-  const TimePoint began = rig.Now();
-  if (HasTrouble()) {
-    rig.Record("worker " + worker.value() + " is cut off");
-    rig.model().faults(worker).silent = true;
-  }
-  const Answer cancelled = rig.CallAny("DELETE", path);
-  if (cancelled.status != 200)
-    return rig.GiveUp("the job was not cancelled");
-  const TimePoint cancelled_at = rig.Now();
-  rig.Wait(kLeaderLives);
+  rig.WaitUntil(kRunTime,
+                [&rig, first] { return rig.Now() >= first + kRunTime; });
   if (HasTrouble()) {
-    rig.Record("leader " + leader->name() + " loses power");
-    leader->Kill();
+    rig.Record("machine " + leader->name() + " stands still");
+    leader->Pause();
   }
-  rig.Wait(began + kCut - rig.Now());
-  rig.model().faults(worker).silent = false;
-  rig.Record("worker " + worker.value() + " is no longer cut off");
-  rig.Wait(cancelled_at + kLeaderLives + kPowerless - rig.Now());
-  if (HasTrouble()) {
-    leader->Spawn();
-    rig.Record("machine " + leader->name() + " is back");
+  rig.Wait(kFreeze);
+  leader->Resume();
+  rig.Record("machine " + leader->name() + " goes on");
+  rig.Wait(kFinishTime + kRunTime);
+  int complete = 0;
+  for (const std::string& it : jobs)
+    complete += rig.StateOf(it) == "complete" ? 1 : 0;
+  int repeats = 0;
+  int noted = 0;
+  for (const WatchedWorkers::Repeat& it : rig.watched().Repeats()) {
+    ++repeats;
+    noted += it.noted ? 1 : 0;
+    rig.Record("started again: " + ToString(it.task) + ", ended done on " +
+               it.ended_on.value() + " as end " + std::to_string(it.end) +
+               ", noted=" + (it.noted ? "yes" : "no"));
   }
-  // From here on nothing is disturbed.
-  rig.Wait(kContactTime + kCancelBound + kStopBound);
-  const bool runs = rig.model().IsRunning(task);
-  rig.Record("the task runs " +
-             std::to_string((rig.Now() - cancelled_at).count()) +
-             " ms after the cancelling: " + (runs ? "yes" : "no"));
-  rig.CallAny("DELETE", path);
-  rig.Wait(kWatch);
-  const bool still_runs = rig.model().IsRunning(task);
-  const std::string state = rig.StateOf(path);
-  return rig.Finish(runs && still_runs,
-                    "state=" + state + ", its task " +
-                        (still_runs ? "still runs " : "does not run ") +
-                        std::to_string((rig.Now() - cancelled_at).count()) +
-                        " ms after the cancelling was acknowledged");
+  const std::string seen =
+      std::to_string(repeats) + " tasks started after a run had ended done, " +
+      std::to_string(noted) +
+      " of these ends were taken note of; jobs=" + std::to_string(kJobs) +
+      " complete=" + std::to_string(complete) +
+      " most ends listed at once=" + std::to_string(rig.watched().most_ends()) +
+      " most calls of a worker at once=" +
+      std::to_string(rig.watched().most_calls());
+  return rig.Finish(noted > 0 || !rig.model().violations().empty(), seen);
 }
 
 }  // namespace
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,4 +1,5 @@
-// A lasting job whose worker crashes several times in the life of the job.
+// A job is cancelled while the worker of its task is cut off, and the leader
+// loses power before the cut ends.
 
 #include <string>
 
@@ -8,10 +9,10 @@
 
 namespace {
 
-constexpr int kCrashes = 6;
-constexpr Duration kDown{4'500};
-constexpr Duration kWorkTime{6'000};  // Of the task between two crashes.
-constexpr Duration kRestartLimit{8'000};
+constexpr Duration kCut{3'000};
+constexpr Duration kLeaderLives{800};  // After the cancelling.
+constexpr Duration kPowerless{3'500};
+constexpr Duration kWatch{20'000};
 
 int Run(const std::string& work_dir, const std::string& record) {
   Rig rig(work_dir, record,
@@ -25,30 +26,51 @@
   if (rig.CallAny("POST", path, Rig::Encode(lasting)).status != 200)
     return rig.GiveUp("the job was not accepted");
   const batch::TaskId task{JobId(id)};
-  int crashes = 0;
-  std::string state;
-  for (int n = 0; n < kCrashes; ++n) {
-    const bool runs = rig.WaitUntil(
-        kRestartLimit, [&] { return rig.model().IsRunning(task); });
-    if (!runs && n == 0)
-      return rig.GiveUp("the task was not started");
-    state = rig.StateOf(path);
-    if (!runs)
-      break;
-    rig.Wait(kWorkTime);
-    if (!HasTrouble())
-      continue;
-    rig.CrashWorker(rig.model().HolderOf(task), kDown);
-    ++crashes;
+  if (!rig.WaitUntil(Duration(5'000),
+                     [&] { return rig.model().IsRunning(task); }))
+    return rig.GiveUp("the task was not started");
+  rig.Wait(Duration(2'000));
+  const WorkerId worker = rig.model().HolderOf(task);
+  Node* const leader = rig.Leader();
+  if (leader == nullptr)
+    return rig.GiveUp("no node leads");
+  const TimePoint began = rig.Now();
+  if (HasTrouble()) {
+    rig.Record("worker " + worker.value() + " is cut off");
+    rig.model().faults(worker).silent = true;
   }
-  rig.Wait(kRestartLimit);
-  state = rig.StateOf(path);
-  const int failures = rig.model().failures(task);
-  return rig.Finish(
-      state != "running" && state != "queued",
-      "state=" + state + " after " + std::to_string(crashes) +
-          " crashes of its workers, ends failed=" + std::to_string(failures) +
-          ", runs now=" + std::to_string(rig.model().IsRunning(task)));
+  const Answer cancelled = rig.CallAny("DELETE", path);
+  if (cancelled.status != 200)
+    return rig.GiveUp("the job was not cancelled");
+  const TimePoint cancelled_at = rig.Now();
+  rig.Wait(kLeaderLives);
+  if (HasTrouble()) {
+    rig.Record("leader " + leader->name() + " loses power");
+    leader->Kill();
+  }
+  rig.Wait(began + kCut - rig.Now());
+  rig.model().faults(worker).silent = false;
+  rig.Record("worker " + worker.value() + " is no longer cut off");
+  rig.Wait(cancelled_at + kLeaderLives + kPowerless - rig.Now());
+  if (HasTrouble()) {
+    leader->Spawn();
+    rig.Record("machine " + leader->name() + " is back");
+  }
+  // From here on nothing is disturbed.
+  rig.Wait(kContactTime + kCancelBound + kStopBound);
+  const bool runs = rig.model().IsRunning(task);
+  rig.Record("the task runs " +
+             std::to_string((rig.Now() - cancelled_at).count()) +
+             " ms after the cancelling: " + (runs ? "yes" : "no"));
+  rig.CallAny("DELETE", path);
+  rig.Wait(kWatch);
+  const bool still_runs = rig.model().IsRunning(task);
+  const std::string state = rig.StateOf(path);
+  return rig.Finish(runs && still_runs,
+                    "state=" + state + ", its task " +
+                        (still_runs ? "still runs " : "does not run ") +
+                        std::to_string((rig.Now() - cancelled_at).count()) +
+                        " ms after the cancelling was acknowledged");
 }
 
 }  // namespace
--- a/review/common/node.cc
+++ b/review/common/node.cc
@@ -170,6 +170,20 @@
   pid_ = 0;
 }
 
+bool Node::HasEnded() {
+  if (pid_ != 0 && waitpid(pid_, &end_status_, WNOHANG) == pid_) {
+    ReplaceChild(pid_, 0);
+    pid_ = 0;
+  }
+  return pid_ == 0;
+}
+
+std::string Node::HowEnded() const {
+  return WIFSIGNALED(end_status_)
+             ? "by signal " + std::to_string(WTERMSIG(end_status_))
+             : "with exit code " + std::to_string(WEXITSTATUS(end_status_));
+}
+
 void Node::Terminate() {
   Signal(SIGTERM);
 }
--- a/review/common/node.h
+++ b/review/common/node.h
@@ -32,6 +32,10 @@
   void Terminate();
   void Pause();
   void Resume();
+  // Whether the process has ended by itself.
+  bool HasEnded();
+  // How it ended, for a record.
+  std::string HowEnded() const;
   bool is_up() const { return pid_ != 0; }
   // Memory that the process holds; 0 when it is not up.
   int64_t MemoryBytes() const;
@@ -55,6 +59,7 @@
   int readiness_port_;
   int metrics_port_;
   pid_t pid_ = 0;
+  int end_status_ = 0;
 };
 
 }  // namespace quetzalshelf::review
