--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "review/common/rig.h"
+#include "review/1/rig/rig.h"
 
 namespace quetzalshelf::review {
 
@@ -17,7 +17,8 @@
 // Twice as many as the workers can run.
 constexpr int kPatientJobs = 20;
 constexpr int kOtherPatientJobs = 4;
-constexpr Duration kFill{13'000};
+constexpr Duration kSubmitGap{230};  // 4.3 jobs a second come to the site.
+constexpr Duration kFill{8'000};
 constexpr int kRounds = 24;
 constexpr Duration kRoundGap{2'500};
 constexpr int kUrgentJobs = 4;  // A round, for each service.
@@ -74,6 +75,7 @@
         name_job(n < kPatientJobs ? kPatient : kOtherPatient, kPatientMs);
     if (rig.CallAny("POST", path, Rig::Encode(PatientJob())).status != 200)
       return rig.GiveUp("a job was not accepted");
+    rig.Wait(kSubmitGap);
   }
   rig.Wait(kFill);
   std::vector<std::string> accepted;
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,29 +1,39 @@
 // The leader's machine stands still for a moment while more than 500 small
 // tasks end on one worker, which lists 500 ends at a time.
 
+#include <map>
 #include <string>
 #include <vector>
 
-#include "review/common/rig.h"
+#include "review/1/rig/rig.h"
 
 namespace quetzalshelf::review {
 
 namespace {
 
-constexpr int kJobs = 24;
-constexpr int kTasks = 50;
+constexpr int kJobs = 20;
+constexpr int kTasks = 60;
+// 7.1 jobs a second, for 2.8 s.
+constexpr Duration kSubmitGap{140};
 constexpr Duration kStartLimit{2'000};
-constexpr Duration kRunTime{8'000};
+constexpr Duration kRunTime{8'000};  // Of the first job.
+// The ends of two jobs are so far apart.
+constexpr Duration kEndGap{30};
 // Below the silence after which another node takes over.
 constexpr Duration kFreeze{500};
 
 int Run(const std::string& work_dir, const std::string& record) {
-  Rig rig(work_dir, record, [](const batch::TaskId&) { return kRunTime; });
+  std::map<JobId, Duration> run_times;
+  Rig rig(work_dir, record,
+          [&run_times](const batch::TaskId& it) { return run_times[it.job]; });
   if (!rig.Start())
     return rig.GiveUp("the deployment did not start");
   std::vector<std::string> jobs;
+  const TimePoint began = rig.Now();
   for (int n = 0; n < kJobs; ++n) {
-    jobs.push_back(kPatient + rig.NewJobId());
+    const std::string id = rig.NewJobId();
+    jobs.push_back(kPatient + id);
+    run_times[JobId(id)] = kRunTime - (kSubmitGap - kEndGap) * n;
     const JobShape shape{.tasks = kTasks,
                          .estimate_ms = static_cast<int>(kRunTime.count())};
     if (rig.CallAny("POST", jobs.back(), Rig::Encode(shape)).status != 200)
@@ -35,6 +45,8 @@
     });
     if (!started)
       return rig.GiveUp("a job was not started");
+    rig.WaitUntil(kSubmitGap,
+                  [&] { return rig.Now() >= began + kSubmitGap * (n + 1); });
   }
   const TimePoint first = rig.model().first_start(
       {JobId(jobs.front().substr(std::string(kPatient).size()))});
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "review/common/rig.h"
+#include "review/1/rig/rig.h"
 
 namespace quetzalshelf::review {
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # the build of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -S review -B target/review -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+cmake -S review/1/rig -B target/review -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
 cmake --build target/review
