Stop a repeated run when the first one turns out to be done

A worker that is cut off for longer than its leases loses its runs, and they are started elsewhere. If it comes back and lists an end `done`, the task was taken for done, but the repeat went on: it held its worker for nothing, and outlived the cancelling of its job, since steps that are done were passed over then.

An end `done` now stops the later attempts of its task, or of its gang.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -139,6 +139,9 @@
   void StopStep(Job& job, const TaskId& id, TimePoint now, const char* why);
   // Stops all runs of steps that are not done.
   void StopUnfinished(Job& job, TimePoint now, const char* why);
+  // Stops the runs of a task, or of its gang, that were started after
+  // `attempt`, which has ended as done.
+  void StopRepeats(Job& job, const TaskId& id, Attempt attempt, TimePoint now);
   // Stops the runs of a restored job that nobody needs any more: all if it is
   // final, else those of tasks that are done.
   void StopNeedlessRuns(Job& job, TimePoint now);
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -316,6 +316,24 @@
   }
 }
 
+void Dispatcher::StopRepeats(Job& job,
+                             const TaskId& id,
+                             Attempt attempt,
+                             TimePoint now) {
+  StepProgress& step = *job.FindStep(id);
+  TaskId task_id = id;
+  task_id.index = -1;
+  for (TaskProgress& it : step.tasks) {
+    ++task_id.index;
+    if ((task_id.index != id.index && !job.spec(id.step).gang) || !it.run ||
+        it.run->attempt <= attempt || it.run->phase == RunPhase::kStopping)
+      continue;
+    LOG(INFO) << "task " << ToString(task_id) << " attempt=" << it.run->attempt
+              << " is stopped: attempt=" << attempt << " has ended as done";
+    RequestStop(job, task_id, it, now);
+  }
+}
+
 void Dispatcher::StopNeedlessRuns(Job& job, TimePoint now) {
   const bool is_final = job.IsFinal();
   TaskId id{job.record().id};
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -175,10 +175,12 @@
         RecordFailure(worker, end.task, started, now);
         step.retry_at = now + kFailedStepBackoff;
       }
-      if (end.reason == EndReason::kDone)
+      if (end.reason == EndReason::kDone) {
         worker.health.RecordSuccess(started);
-      else if (job->spec(end.task.step).gang)
+        StopRepeats(*job, end.task, end.attempt, now);
+      } else if (job->spec(end.task.step).gang) {
         StopStep(*job, end.task, now, "a member of the gang has ended");
+      }
       if (job->IsFinal())
         StopUnfinished(*job, now, "the job is over");
       MarkChanged(*job);
--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -103,4 +103,23 @@
   CHECK(fixture.workers.total_starts() == 2);
 }
 
+// Guards against a repeated run that goes on for nothing, and outlives the
+// cancelling of its job, once its worker's first run is known to be done.
+TEST_CASE("A repeated run is stopped when the first one has ended as done") {
+  LeaderFixture fixture(1, 2);
+  fixture.run_time = Duration(3'000);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  fixture.Run(Duration(300));
+  REQUIRE(fixture.workers.running() == 1);
+  const WorkerId first = fixture.workers.HolderOf(Task(kJob, 0));
+  fixture.nodes[0].workers->set_cut({first});
+  fixture.run_time = Duration(600'000);
+  fixture.Run(Duration(8'000));
+  REQUIRE(fixture.workers.starts(Task(kJob, 0)) == 2);
+  fixture.nodes[0].workers->set_cut({});
+  fixture.Run(Duration(1'500));
+  CHECK(fixture.State(kJob).phase == JobPhase::kComplete);
+  CHECK(fixture.workers.running() == 0);
+}
+
 }  // namespace quetzalshelf::batch
