Plan reclaims of each service with that service's runs

Cause: the runs that may be stopped were collected once a pass, for the service of the first step that reclaimed. They are indexes into that service's list of workers; a step of another service used them on its own list, beyond its end or with the wrong workers. They are now kept by service, as the candidates are.

--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -134,16 +134,20 @@
     bool guaranteed = false;
     Duration time_left{0};  // Until all its runs end by themselves.
   };
+  // The runs of one service. Members of groups are indexes into the candidates
+  // of the same service.
+  struct ServiceVictims {
+    std::vector<VictimGroup> groups;
+    std::vector<Victim> victims;  // One per group.
+  };
 
   TimePoint now;
   std::set<JobId> guaranteed;
   std::map<ServiceName, std::vector<Candidate>> candidates;
   // Racks kept free of deferrable work; chosen when such work is first placed.
   std::map<ServiceName, std::set<RackId>> headroom;
-  // Groups and victims are collected when the first unit tries to reclaim.
-  bool victims_collected = false;
-  std::vector<VictimGroup> groups;
-  std::vector<Victim> victims;  // One per group.
+  // Collected when the first unit of a service tries to reclaim.
+  std::map<ServiceName, ServiceVictims> victims;
   // Services in which a gang that may not stop other runs holds workers.
   std::set<ServiceName> held;
 };
@@ -542,6 +546,7 @@
 }
 
 void Dispatcher::CollectVictims(PassState& pass, const ServiceName& service) {
+  PassState::ServiceVictims& collected = pass.victims[service];
   const std::vector<Candidate>& candidates = CandidatesOf(service, pass);
   std::map<WorkerId, size_t> index;
   for (size_t n = 0; n < candidates.size(); ++n)
@@ -563,9 +568,9 @@
         victim.time_left = Duration(0);
         const auto add_group = [&](int task_index) {
           group.cost = StopCost(group.lost_work, victim.priority);
-          pass.groups.push_back(std::exchange(group, {}));
-          pass.victims.push_back(victim);
-          pass.victims.back().id.index = task_index;
+          collected.groups.push_back(std::exchange(group, {}));
+          collected.victims.push_back(victim);
+          collected.victims.back().id.index = task_index;
           victim.time_left = Duration(0);
         };
         const TimePoint began =
@@ -588,7 +593,6 @@
       ++victim.id.occurrence;
     }
   }
-  pass.victims_collected = true;
 }
 
 const char* Dispatcher::TryReclaim(PlacementUnit& unit,
@@ -598,17 +602,18 @@
   std::vector<Candidate>& candidates = CandidatesOf(service, pass);
   unit.step->reclaim_at = pass.now + kReclaimRetryInterval;
   pass_due_ = true;
-  if (!pass.victims_collected)
+  if (!pass.victims.contains(service))
     CollectVictims(pass, service);
+  auto& [all_groups, victims] = pass.victims.at(service);
   const int priority = unit.job->record().priority;
   const bool may_stop = priority == 0;
   // Runs that end before a stop would take effect cost nothing.
   const Duration max_wait = may_stop ? mean_stop_time_ : kMaxHoldWait;
-  std::vector<VictimGroup> groups = pass.groups;
+  std::vector<VictimGroup> groups = all_groups;
   std::vector<bool> awaited(groups.size());
   std::vector<bool> stoppable(groups.size());
   for (size_t n = 0; n < groups.size(); ++n) {
-    const PassState::Victim& victim = pass.victims[n];
+    const PassState::Victim& victim = victims[n];
     // Guaranteed work may also stop unguaranteed runs of its own priority.
     stoppable[n] =
         may_stop && (victim.priority > priority ||
@@ -646,7 +651,7 @@
   if (step.reserved.empty())
     step.awaited.clear();
   for (const size_t n : plan->victims) {
-    const PassState::Victim& victim = pass.victims[n];
+    const PassState::Victim& victim = victims[n];
     if (!awaited[n]) {
       Preempt(*victim.job, victim.id, pass.now);
     } else if (stoppable[n]) {
@@ -655,7 +660,7 @@
     } else {
       until = pass.now + max_wait + kEndTolerance;
     }
-    pass.groups[n].members.clear();
+    all_groups[n].members.clear();
   }
   step.reserved_until =
       step.reserved.empty() ? until : std::max(step.reserved_until, until);
