Do not take runs for lost while a worker leaves out ends

Cause: a worker lists 500 ends at a time and the rest once these have been acknowledged, but a confirmed run in neither list was taken for lost and started again at once. The adapter now tells when a list of ends is as long as it can be; from such a list no run is concluded to be gone. Its ends are recorded and acknowledged, and the next sync brings the others.

The stand-ins were kinder than the interfaces: the model of a worker listed all ends at once, that of the store returned all rows of a range. Both have the limits now, for all tests.

--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -341,6 +341,14 @@
     if (run->phase == RunPhase::kRunning)
       CheckStalls(job, it.task, now);
   }
+  // The ends of unlisted runs may be among those left out. The next sync lists
+  // them, once the first ones are recorded.
+  if (reply.more_ends) {
+    LOG(INFO) << "worker " << worker.entry.id
+              << " listed only the first ends: listed=" << reply.ends.size()
+              << " last=" << worker.applied_ends;
+    return;
+  }
   // Runs that the worker should know but does not list are lost. `assigned`
   // lacks the newest runs; the next sync checks those.
   for (const TaskId& id : std::vector<TaskId>(worker.assigned)) {
--- a/servers/batch/worker_port.h
+++ b/servers/batch/worker_port.h
@@ -82,6 +82,9 @@
   int64_t incarnation_start_wall_ms = 0;  // 0 when the worker did not say.
   std::vector<ListedRun> runs;
   std::vector<ListedEnd> ends;
+  // Further ends follow the last one; they are listed once earlier ones have
+  // been acknowledged. A run in neither list may be among them.
+  bool more_ends = false;
 };
 
 // Calls return at once; callbacks run later on the caller's thread. Errors:
--- a/standins/fleet/memory_versioned_store.cc
+++ b/standins/fleet/memory_versioned_store.cc
@@ -5,6 +5,13 @@
 
 namespace quetzalshelf {
 
+namespace {
+
+// The platform's limit of one answer.
+constexpr size_t kMaxRowsRead = 500;
+
+}  // namespace
+
 MemoryVersionedStore::MemoryVersionedStore(TaskRunner& runner,
                                            Duration answer_time)
     : runner_(runner), answer_time_(answer_time) {}
@@ -114,9 +121,14 @@
   StoreSnapshot snapshot;
   snapshot.version = version_;
   for (const auto& [id, row] : rows_) {
-    if (id.table == range.table && id.partition == range.partition &&
-        id.key >= range.from && (range.to.empty() || id.key < range.to))
-      snapshot.rows.push_back(row);
+    if (id.table != range.table || id.partition != range.partition ||
+        id.key < range.from || (!range.to.empty() && id.key >= range.to))
+      continue;
+    if (snapshot.rows.size() == kMaxRowsRead) {
+      snapshot.complete = false;
+      break;
+    }
+    snapshot.rows.push_back(row);
   }
   Answer(std::move(done), std::move(snapshot));
 }
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -17,6 +17,8 @@
 constexpr Duration kGangWait{4'000};
 constexpr Duration kCrashDelay{10};
 constexpr Duration kOutage{3'000};
+// The platform's limit of one answer.
+constexpr size_t kMaxListedEnds = 500;
 
 }  // namespace
 
@@ -189,7 +191,10 @@
   reply.incarnation_start_wall_ms = worker.entry.incarnation_start_wall_ms;
   for (const auto& [task, run] : worker.runs)
     reply.runs.push_back({task, run.attempt, "", PercentOf(run)});
-  reply.ends = worker.ends;
+  const size_t count = std::min(worker.ends.size(), kMaxListedEnds);
+  reply.ends.assign(worker.ends.begin(),
+                    worker.ends.begin() + static_cast<std::ptrdiff_t>(count));
+  reply.more_ends = count < worker.ends.size();
   return reply;
 }
 
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -213,6 +213,28 @@
   CHECK_FALSE(peer.LastBody().contains("until_ms"));
 }
 
+// Guards against taking a list of ends that is cut off at the limit of one
+// answer for the whole list. Unreadable rows count towards the limit.
+TEST_CASE("A list of ends as long as the limit is not taken for whole") {
+  Peer peer;
+  WorkerClient workers(peer.client);
+  const auto sync = [&](int ends) {
+    json finished = json::array({json::array({"unreadable"})});
+    for (int n = 1; n < ends; ++n)
+      finished.push_back({n, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""});
+    peer.Answer(200, json({{"clock_ms", 1},
+                           {"running", json::array()},
+                           {"finished", finished}})
+                         .dump());
+    return peer.Await<batch::SyncReply>([&](auto done) {
+      workers.Sync(MakeWorker(peer), {.epoch = Epoch(7)}, kLongTimeout,
+                   std::move(done));
+    });
+  };
+  CHECK_FALSE(sync(499)->more_ends);
+  CHECK(sync(500)->more_ends);
+}
+
 // Each way in which a call can go wrong, as a caller sees it.
 TEST_CASE("Callers get the status that their call deserves") {
   Peer store_peer;
