Tell only counts of waiting jobs that a leader has reported lately

Cause: the heartbeat that takes over, and those until the new leader had read the jobs, held an empty report, which replaced the former leader's on all nodes. A report had no age either, and a node without one, or with one that it could not read, told 0.

A leader now leaves the report out until it has read the jobs, and nodes keep the last one. A count is told for 2 s after its report arrived; without one the call gets 503 with a time to come back. Each count told is logged with its age, since the logs could not tell a wrong report from an old one.

Measured: "Nodes tell how many jobs wait while the leader changes" failed before (0 instead of 4, after a kill and after a planned stop) and passes now.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -146,13 +146,7 @@
                   metrics_,
                   lease_,
                   {.max_polls = PollLimit(settings.max_descriptors)},
-                  seed) {
-  lease_.set_report_source([this] {
-    const batch::Dispatcher* const dispatcher = leadership_.dispatcher();
-    return dispatcher ? batch::EncodeLoadReport(dispatcher->Report())
-                      : std::string();
-  });
-}
+                  seed) {}
 
 EntryNode::~EntryNode() = default;
 
@@ -200,7 +194,7 @@
                                             : Duration(0));
   control_.Tick(now);
   lease_.Tick(now, control_.answering_since(), control_.answered_at());
-  load_.Update(lease_.report());
+  load_.Update(lease_.report(), lease_.report_at());
   TickLeadership(now);
   if (stopped_)
     TickStop(now);
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -413,7 +413,9 @@
                                          now + MaxLease(now));
 }
 
-LoadReport Dispatcher::Report() const {
+std::optional<LoadReport> Dispatcher::Report() const {
+  if (!HasLoadedJobs())
+    return std::nullopt;
   LoadReport report;
   for (const JobId& id : live_) {
     const Job& job = *jobs_.at(id);
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -80,7 +80,8 @@
   // when none runs or the successor gives orders already.
   std::unique_ptr<LeaseHandover> HandOverLeases(TimePoint now) const;
 
-  LoadReport Report() const;
+  // nullopt until the jobs have been read.
+  std::optional<LoadReport> Report() const;
 
  private:
   struct PlacementUnit;  // A gang, or the tasks of a step that wait for
--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -455,8 +455,17 @@
     done(route.refusal);
     return;
   }
+  const TimePoint now = clock_.Now();
+  const std::optional<QueueLoad> load = load_.Find(route.queue->name, now);
+  if (!load) {
+    done(NotReady("no recent report of a leader says how many jobs wait"));
+    return;
+  }
   CallAnswer answer = Answer(CallOutcome::kFound);
-  answer.pending = load_.Find(route.queue->name).pending;
+  answer.pending = load->pending;
+  LOG(INFO) << "waiting jobs of queue " << route.queue->name
+            << ": pending=" << load->pending
+            << " report_age_ms=" << load_.Age(now).count();
   done(answer);
 }
 
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -112,7 +112,14 @@
   if (value) {
     JsonReader reader(*value, row.id.key, findings);
     released_ = reader.OptionalBool("released", false);
-    report_ = reader.OptionalString("report", "", kMaxReportBytes);
+    if (value->is_object() && value->contains("report")) {
+      const std::string report =
+          reader.OptionalString("report", "", kMaxReportBytes);
+      if (findings.empty()) {
+        report_ = report;
+        report_at_ = now;
+      }
+    }
   }
   if (!findings.empty())
     LOG(WARNING) << "heartbeat cannot be read: " << findings.ToString();
@@ -322,8 +329,8 @@
   json value = {{"node", options_.node.value()}};
   if (released)
     value["released"] = true;
-  if (report_source_)
-    value["report"] = report_source_();
+  if (const auto report = report_source_ ? report_source_() : std::nullopt)
+    value["report"] = *report;
   return value.dump();
 }
 
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -56,8 +56,10 @@
 
 class LeaderLease {
  public:
-  // Returns the load report that is sent to all nodes with each heartbeat.
-  using ReportSource = std::function<std::string()>;
+  // Returns the load report that is sent to all nodes with each heartbeat;
+  // nullopt while the leader has not read the jobs. The other nodes keep the
+  // report of its predecessor meanwhile.
+  using ReportSource = std::function<std::optional<std::string>()>;
 
   LeaderLease(VersionedStore& store,
               const Clock& clock,
@@ -87,9 +89,10 @@
   const FencingToken& fencing_token() const { return fencing_token_; }
   // When the last write was sent that showed that this node still led.
   TimePoint confirmed_at() const { return confirmed_at_; }
-  // The newest report of the leader and when it arrived.
+  // The newest report of a leader, and when it arrived; TimePoint() if none
+  // has.
   const std::string& report() const { return report_; }
-  TimePoint report_at() const { return heartbeat_at_; }
+  TimePoint report_at() const { return report_at_; }
 
  private:
   void OnEpochRow(const StoreRow& row, TimePoint now);
@@ -129,6 +132,7 @@
   Duration heartbeat_gap_{0};  // Mean time between heartbeats as seen here.
   bool released_ = false;
   std::string report_;
+  TimePoint report_at_;
 
   bool leading_ = false;
   bool retired_ = false;  // Released leadership; never acquires it again.
--- a/servers/batch/leadership.cc
+++ b/servers/batch/leadership.cc
@@ -19,7 +19,14 @@
       metrics_(metrics),
       lease_(lease),
       options_(options),
-      seed_(seed) {}
+      seed_(seed) {
+  lease_.set_report_source([this]() -> std::optional<std::string> {
+    const auto report = dispatcher_ ? dispatcher_->Report() : std::nullopt;
+    if (!report)
+      return std::nullopt;
+    return EncodeLoadReport(*report);
+  });
+}
 
 void Leadership::Update(TimePoint now) {
   if (dispatcher_ && deposed_) {
--- a/servers/batch/leadership.h
+++ b/servers/batch/leadership.h
@@ -21,6 +21,8 @@
 
 class Leadership {
  public:
+  // Gives `lease` its load reports; the lease must not be ticked once the
+  // leadership has been destroyed.
   Leadership(VersionedStore& store,
              WorkerPort& workers,
              const Clock& clock,
--- a/servers/batch/load_report.cc
+++ b/servers/batch/load_report.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int64_t kMaxCount = std::numeric_limits<int32_t>::max();
+// Callers are promised counts that are no older than this.
+constexpr Duration kMaxReportAge{2'000};
 
 }  // namespace
 
@@ -26,15 +28,13 @@
   return queues.dump();
 }
 
-LoadReport DecodeLoadReport(const std::string& text) {
-  LoadReport report;
-  if (text.empty())
-    return report;
+std::optional<LoadReport> DecodeLoadReport(const std::string& text) {
   const json queues = json::parse(text, nullptr, false);
   if (!queues.is_object()) {
-    LOG(WARNING) << "load report cannot be read and counts as empty";
-    return report;
+    LOG(WARNING) << "load report cannot be read and is not used";
+    return std::nullopt;
   }
+  LoadReport report;
   Findings findings;
   for (const auto& [name, load] : queues.items()) {
     JsonReader reader(load, name, findings);
@@ -42,21 +42,30 @@
     queue.pending = reader.OptionalInt("pending", 0, kMaxCount, 0);
     queue.wait = Duration(reader.OptionalInt("wait_ms", 0, kMaxCount, 0));
   }
-  if (!findings.empty())
-    LOG(WARNING) << "load report has bad fields: " << findings.ToString();
+  if (!findings.empty()) {
+    LOG(WARNING) << "load report has bad fields and is not used: "
+                 << findings.ToString();
+    return std::nullopt;
+  }
   return report;
 }
 
-void LoadView::Update(const std::string& text) {
+void LoadView::Update(const std::string& text, TimePoint received) {
+  if (received == received_)
+    return;
+  received_ = received;
   if (text == text_)
     return;
   text_ = text;
   report_ = DecodeLoadReport(text);
 }
 
-QueueLoad LoadView::Find(const QueueName& queue) const {
-  const auto it = report_.queues.find(queue);
-  return it == report_.queues.end() ? QueueLoad() : it->second;
+std::optional<QueueLoad> LoadView::Find(const QueueName& queue,
+                                        TimePoint now) const {
+  if (!report_ || Age(now) > kMaxReportAge)
+    return std::nullopt;
+  const auto it = report_->queues.find(queue);
+  return it == report_->queues.end() ? QueueLoad() : it->second;
 }
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/load_report.h
+++ b/servers/batch/load_report.h
@@ -4,6 +4,7 @@
 #define SERVERS_BATCH_LOAD_REPORT_H_
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/time.h"
@@ -22,18 +23,24 @@
 };
 
 std::string EncodeLoadReport(const LoadReport& report);
-// An empty report for text that cannot be read.
-LoadReport DecodeLoadReport(const std::string& text);
+// nullopt for text that cannot be read.
+std::optional<LoadReport> DecodeLoadReport(const std::string& text);
 
-// The newest report that this node has seen.
+// The newest readable report that this node has seen.
 class LoadView {
  public:
-  void Update(const std::string& text);
-  QueueLoad Find(const QueueName& queue) const;
+  // `received` is when the report arrived.
+  void Update(const std::string& text, TimePoint received);
+  // nullopt while no report is known or the newest one is too old to answer
+  // callers with.
+  std::optional<QueueLoad> Find(const QueueName& queue, TimePoint now) const;
+  // Time since the newest report arrived.
+  Duration Age(TimePoint now) const { return now - received_; }
 
  private:
   std::string text_;
-  LoadReport report_;
+  TimePoint received_;
+  std::optional<LoadReport> report_;
 };
 
 }  // namespace quetzalshelf::batch
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -188,6 +188,14 @@
   return *answer;
 }
 
+CallAnswer BatchFixture::Pending(size_t node, const std::string& queue) {
+  const LeaderLease& lease = *nodes[node].lease;
+  load.Update(lease.report(), lease.report_at());
+  CallAnswer answer;
+  frontend.Pending(Caller(queue), [&](const CallAnswer& it) { answer = it; });
+  return answer;
+}
+
 JobPhase BatchFixture::RunUntilFinal(const std::string& id, Duration limit) {
   const TimePoint end = runner.Now() + limit;
   JobPhase phase = JobPhase::kQueued;
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -59,6 +59,8 @@
                     const std::string& queue = "/plans/");
   CallAnswer Cancel(const std::string& id);
   CallAnswer State(const std::string& id);
+  // The count of waiting jobs that a node tells.
+  CallAnswer Pending(size_t node, const std::string& queue = "/plans/");
 
   // The list of workers as the platform gives it to the leader.
   std::vector<WorkerEntry> listed;
--- /dev/null
+++ b/tests/batch/pending_count_test.cc
@@ -0,0 +1,102 @@
+// Tests of the count of waiting jobs that nodes tell callers.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+#include "tests/batch/batch_fixture.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+constexpr int kWaiting = 4;
+constexpr Duration kStep{10};
+
+// What a node tells over some time.
+struct Counts {
+  int64_t lowest = kWaiting;
+  int64_t highest = 0;
+  Duration unknown{0};  // Time for which the count was refused.
+  bool refused_last = false;
+};
+
+Counts Watch(BatchFixture& fixture, size_t node, Duration duration) {
+  Counts counts;
+  for (Duration passed{0}; passed < duration; passed += kStep) {
+    fixture.Run(kStep);
+    const CallAnswer answer = fixture.Pending(node);
+    counts.refused_last = answer.outcome != CallOutcome::kFound;
+    if (counts.refused_last) {
+      counts.unknown += kStep;
+      continue;
+    }
+    counts.lowest = std::min(counts.lowest, answer.pending);
+    counts.highest = std::max(counts.highest, answer.pending);
+  }
+  return counts;
+}
+
+// Nodes n1 to n3, of which n1 leads; jobs wait since no task may start.
+struct WaitingJobs : LeaderFixture {
+  WaitingJobs() {
+    AddNode("n2");
+    AddNode("n3");
+    site.SetEvacuated(DomainId("cartago"), true);
+    for (int n = 0; n < kWaiting; ++n)
+      Submit("000000000000000" + std::to_string(n), MakeJob(1, 1, false));
+    Run(Duration(600));
+    REQUIRE(Leader() == 0);
+  }
+};
+
+}  // namespace
+
+// Guards against a count of 0 from all nodes after each change of leader,
+// until the new leader has read the jobs.
+TEST_CASE("Nodes tell how many jobs wait while the leader changes") {
+  WaitingJobs fixture;
+  REQUIRE(fixture.Pending(2).pending == kWaiting);
+  // Reading the jobs takes several heartbeats.
+  fixture.store.set_answer_time(Duration(80));
+  SUBCASE("killed") {
+    fixture.Kill(0);
+  }
+  SUBCASE("stopped as planned") {
+    fixture.Resign(0);
+  }
+  const Counts counts = Watch(fixture, 2, Duration(6'000));
+  CHECK(counts.lowest == kWaiting);
+  CHECK(counts.highest == kWaiting);
+  CHECK_FALSE(counts.refused_last);
+}
+
+// Guards against a count of 0 from a node that does not know it.
+TEST_CASE("A node without a report does not tell how many jobs wait") {
+  WaitingJobs fixture;
+  fixture.nodes[1].paused = true;
+  fixture.nodes[2].paused = true;
+  fixture.Kill(0);
+  fixture.AddNode("n4");
+  const CallAnswer answer = fixture.Pending(3);
+  CHECK(answer.outcome == CallOutcome::kNotReady);
+  CHECK(answer.retry_after > Duration(0));
+}
+
+// Guards against a count that callers get long after the leader has gone.
+TEST_CASE("A count is not told once it is older than two seconds") {
+  WaitingJobs fixture;
+  fixture.Run(Duration(200));
+  fixture.nodes[1].paused = true;
+  fixture.nodes[2].paused = true;
+  fixture.Kill(0);
+  fixture.Run(Duration(1'500));
+  CHECK(fixture.Pending(2).pending == kWaiting);
+  fixture.Run(Duration(1'500));
+  const CallAnswer answer = fixture.Pending(2);
+  CHECK(answer.outcome == CallOutcome::kNotReady);
+  CHECK(answer.retry_after > Duration(0));
+}
+
+}  // namespace quetzalshelf::batch
