Count a job as begun when a worker confirms a start

Callers were told that no job waits while jobs waited whose start had been refused or was never answered.

Cause: a job counted as begun, and its state as running for good, as soon as workers were chosen for it. It now begins when a worker confirms the start of a task, or lists its run or its end. A run taken over from a former leader counts as begun until its worker tells. A job without any run is shown as queued again if none has begun.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -419,7 +419,7 @@
   LoadReport report;
   for (const JobId& id : live_) {
     const Job& job = *jobs_.at(id);
-    if (!job.begun() && !job.IsFinal())
+    if (!job.HasBegun() && !job.IsFinal())
       ++report.queues[job.record().queue].pending;
   }
   return report;
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -129,7 +129,7 @@
                    const WorkerId& worker_id,
                    const absl::StatusOr<OrderReply>& reply);
   // Marks a run as running once its worker has confirmed the start.
-  void MarkRunning(const Job& job, const TaskId& id, Run& run, TimePoint now);
+  void MarkRunning(Job& job, const TaskId& id, Run& run, TimePoint now);
   void RequestStop(Job& job,
                    const TaskId& id,
                    TaskProgress& task,
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -227,10 +227,11 @@
   Pump(now);
 }
 
-void Dispatcher::MarkRunning(const Job& job,
+void Dispatcher::MarkRunning(Job& job,
                              const TaskId& id,
                              Run& run,
                              TimePoint now) {
+  job.set_begun();
   run.phase = RunPhase::kRunning;
   run.phase_since = now;
   run.confirmed_event = ++last_event_;
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -733,7 +733,6 @@
       unit.waiting.begin() + static_cast<std::ptrdiff_t>(placement.size()));
   if (job.first_placed_at == TimePoint())
     job.first_placed_at = pass.now;
-  job.set_begun();
   MarkChanged(job, WriteUrgency::kNow);
 }
 
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -164,6 +164,7 @@
       LogGangCompletion(*job, end.task, now);
     if (job && job->ApplyEnd(end.task, end.attempt, end.reason, end.checkpoint,
                              worker.entry.id)) {
+      job->set_begun();
       ends_.Add();
       LOG(INFO) << "task " << ToString(end.task)
                 << " ended: worker=" << worker.entry.id
@@ -326,10 +327,6 @@
     if (run->phase == RunPhase::kRecovered) {
       MarkRunning(job, it.task, *run, now);
       run->progress.Resume(now);
-      if (!job.begun()) {
-        job.set_begun();
-        MarkChanged(job);
-      }
     }
     job.SaveCheckpoint(it.task, it.checkpoint, now);
     if (run->progress.Observe(it.percent, now)) {
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -267,6 +267,16 @@
   return failed;
 }
 
+bool Job::HasBegun() const {
+  if (begun_)
+    return true;
+  bool begun = false;
+  ForEachTask([&](const TaskId&, const TaskProgress& task) {
+    begun = begun || (task.run && task.run->phase == RunPhase::kRecovered);
+  });
+  return begun;
+}
+
 bool Job::HasAnyRun() const {
   bool any = false;
   ForEachTask([&](const TaskId&, const TaskProgress& task) {
@@ -275,9 +285,9 @@
   return any;
 }
 
-JobPhase Job::phase() const {
+std::optional<JobPhase> Job::FindFinalPhase() const {
   if (final_phase_)
-    return *final_phase_;
+    return final_phase_;
   const bool complete =
       std::ranges::all_of(occurrences_, [](const OccurrenceProgress& it) {
         return std::ranges::all_of(it.steps, &Job::IsDone);
@@ -286,7 +296,13 @@
     return JobPhase::kComplete;
   if (HasFailed())
     return JobPhase::kFailed;
-  return begun_ ? JobPhase::kRunning : JobPhase::kQueued;
+  return std::nullopt;
+}
+
+JobPhase Job::phase() const {
+  if (const auto final_phase = FindFinalPhase())
+    return *final_phase;
+  return begun_ || HasAnyRun() ? JobPhase::kRunning : JobPhase::kQueued;
 }
 
 void Job::Cancel() {
@@ -295,12 +311,12 @@
 }
 
 void Job::KeepFinalPhase() {
-  if (const JobPhase present = phase(); IsFinalPhase(present))
+  if (const auto present = FindFinalPhase())
     final_phase_ = present;
 }
 
 bool Job::IsFinal() const {
-  return IsFinalPhase(phase());
+  return FindFinalPhase().has_value();
 }
 
 Attempt Job::NextAttempt(const StepProgress& step) {
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -169,8 +169,9 @@
   // Complete, failed or cancelled: no task may start.
   bool IsFinal() const;
   JobPhase phase() const;
-  // Whether any task was ever started.
-  bool begun() const { return begun_; }
+  // Whether any task was ever started. A run of a former leader counts as
+  // started until its worker tells.
+  bool HasBegun() const;
   void set_begun() { begun_ = true; }
   bool HasAnyRun() const;
 
@@ -199,6 +200,8 @@
  private:
   void ForEachTask(const std::function<void(const TaskId&,
                                             const TaskProgress&)>& visit) const;
+  // nullopt while the job goes on.
+  std::optional<JobPhase> FindFinalPhase() const;
   bool HasFailed() const;
   // Keeps the present phase if it is final.
   void KeepFinalPhase();
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr char kJob[] = "00000000000000f1";
 constexpr int kWaiting = 4;
 constexpr Duration kStep{10};
 
@@ -99,4 +100,42 @@
   CHECK(answer.retry_after > Duration(0));
 }
 
+// Guards against jobs that count as begun as soon as workers are chosen for
+// them, though no worker starts them.
+TEST_CASE("A job whose start fails counts as waiting") {
+  LeaderFixture fixture;
+  for (const WorkerEntry& it : fixture.listed) {
+    SUBCASE("refused") {
+      fixture.workers.faults(it.id).refuses = true;
+    }
+    SUBCASE("without an answer") {
+      fixture.workers.faults(it.id).silent = true;
+    }
+  }
+  fixture.Submit(kJob, MakeJob(1, 1, false));
+  fixture.Run(Duration(1'500));
+  REQUIRE(fixture.workers.total_starts() == 0);
+  CHECK(fixture.Pending(0).pending == 1);
+  for (const WorkerEntry& it : fixture.listed) {
+    fixture.workers.faults(it.id).refuses = false;
+    fixture.workers.faults(it.id).silent = false;
+  }
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.workers.total_starts() > 0);
+  CHECK(fixture.Pending(0).pending == 0);
+}
+
+// Guards against jobs that count as waiting again after a change of leader.
+TEST_CASE("A job that has begun does not count as waiting for a new leader") {
+  LeaderFixture fixture;
+  fixture.AddNode("n2");
+  fixture.run_time = Duration(60'000);
+  fixture.Submit(kJob, MakeJob(1, 1, false));
+  fixture.Run(Duration(600));
+  REQUIRE(fixture.workers.running() == 1);
+  REQUIRE(fixture.Pending(1).pending == 0);
+  fixture.Kill(0);
+  CHECK(Watch(fixture, 1, Duration(4'000)).highest == 0);
+}
+
 }  // namespace quetzalshelf::batch
