--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -231,7 +231,7 @@
   if (cancelled_.contains(id))
     CancelJob(added, now);
   // The stop orders of a former leader may have been lost with it.
-  StopNeedlessRuns(added, now);
+  StopObsoleteRuns(added, now);
   LOG(INFO) << "job " << id << " loaded: queue=" << added.record().queue
             << " workspace=" << added.record().workspace
             << " steps=" << added.record().spec.steps.size()
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -142,10 +142,13 @@
   void StopUnfinished(Job& job, TimePoint now, const char* why);
   // Stops the runs of a task, or of its gang, that were started after
   // `attempt`, which has ended as done.
-  void StopRepeats(Job& job, const TaskId& id, Attempt attempt, TimePoint now);
-  // Stops the runs of a restored job that nobody needs any more: all if it is
+  void StopLaterAttempts(Job& job,
+                         const TaskId& id,
+                         Attempt attempt,
+                         TimePoint now);
+  // Stops the runs of a restored job that are no longer needed: all if it is
   // final, else those of tasks that are done.
-  void StopNeedlessRuns(Job& job, TimePoint now);
+  void StopObsoleteRuns(Job& job, TimePoint now);
   void MarkRunLost(Job& job,
                    const TaskId& id,
                    Attempt attempt,
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -317,10 +317,10 @@
   }
 }
 
-void Dispatcher::StopRepeats(Job& job,
-                             const TaskId& id,
-                             Attempt attempt,
-                             TimePoint now) {
+void Dispatcher::StopLaterAttempts(Job& job,
+                                   const TaskId& id,
+                                   Attempt attempt,
+                                   TimePoint now) {
   StepProgress& step = *job.FindStep(id);
   TaskId task_id = id;
   task_id.index = -1;
@@ -335,7 +335,7 @@
   }
 }
 
-void Dispatcher::StopNeedlessRuns(Job& job, TimePoint now) {
+void Dispatcher::StopObsoleteRuns(Job& job, TimePoint now) {
   const bool is_final = job.IsFinal();
   TaskId id{job.record().id};
   int runs = 0;
@@ -356,7 +356,8 @@
     ++id.occurrence;
   }
   if (runs > 0) {
-    LOG(INFO) << "job " << job.record().id << " was left with needless runs: "
+    LOG(INFO) << "job " << job.record().id
+              << " has obsolete runs of a former leader: "
               << "phase=" << ToString(job.phase()) << " stopped=" << runs;
   }
 }
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -178,7 +178,7 @@
       }
       if (end.reason == EndReason::kDone) {
         worker.health.RecordSuccess(started);
-        StopRepeats(*job, end.task, end.attempt, now);
+        StopLaterAttempts(*job, end.task, end.attempt, now);
       } else if (job->spec(end.task.step).gang) {
         StopStep(*job, end.task, now, "a member of the gang has ended");
       }
--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -1,5 +1,5 @@
-// Tests of runs that a leader takes over from a former one, or that turn out to
-// be needless later.
+// Tests of runs that a leader takes over from a former one, or that turn out
+// later to be obsolete.
 
 #include <doctest/doctest.h>
 
@@ -70,7 +70,8 @@
   CHECK(fixture.workers.total_starts() == 1);
 }
 
-// Guards against the same for a job that failed with other tasks still running.
+// Guards against tasks that run on forever after their job has failed, because
+// the leader that stopped them died before its orders arrived.
 TEST_CASE("A new leader stops the tasks of a failed job") {
   LeaderFixture fixture(1, 1);
   fixture.run_time = Duration(600'000);
