Leave counts out of the report while new jobs cannot be read

Callers were told too small a number of waiting jobs, fresh by its age, while the leader got no answers for the table of jobs but wrote its heartbeats: the jobs accepted since were not in it.

The report is left out when the view of the jobs is older than 1.8 s, the limit beyond which the leader starts nothing either. After 2 s more the nodes answer 503 with a time to come back.

The stand-in of a node's path to the store can leave one table without answers.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -413,8 +413,8 @@
                                          now + MaxLease(now));
 }
 
-std::optional<LoadReport> Dispatcher::Report() const {
-  if (!HasLoadedJobs())
+std::optional<LoadReport> Dispatcher::Report(TimePoint now) const {
+  if (!HasLoadedJobs() || now - job_rows_->confirmed_at() > kMaxViewAge)
     return std::nullopt;
   LoadReport report;
   for (const JobId& id : live_) {
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -80,8 +80,8 @@
   // when none runs or the successor gives orders already.
   std::unique_ptr<LeaseHandover> HandOverLeases(TimePoint now) const;
 
-  // nullopt until the jobs have been read.
-  std::optional<LoadReport> Report() const;
+  // nullopt until the jobs have been read, and while new ones cannot be.
+  std::optional<LoadReport> Report(TimePoint now) const;
 
  private:
   struct PlacementUnit;  // A gang, or the tasks of a step that wait for
--- a/servers/batch/leadership.cc
+++ b/servers/batch/leadership.cc
@@ -21,7 +21,8 @@
       options_(options),
       seed_(seed) {
   lease_.set_report_source([this]() -> std::optional<std::string> {
-    const auto report = dispatcher_ ? dispatcher_->Report() : std::nullopt;
+    const auto report =
+        dispatcher_ ? dispatcher_->Report(clock_.Now()) : std::nullopt;
     if (!report)
       return std::nullopt;
     return EncodeLoadReport(*report);
--- a/standins/fleet/severable_store.cc
+++ b/standins/fleet/severable_store.cc
@@ -24,7 +24,7 @@
 void SeverableStore::Read(const ReadRange& range,
                           Duration timeout,
                           ReadCallback done) {
-  if (cut_)
+  if (cut_ || range.table == cut_table_)
     runner_.PostAfter(timeout, [done = std::move(done)] { done(NoAnswer()); });
   else
     store_.Read(range, timeout, std::move(done));
@@ -35,7 +35,7 @@
                           Duration wait,
                           Duration timeout,
                           ReadCallback done) {
-  if (cut_)
+  if (cut_ || table == cut_table_)
     runner_.PostAfter(timeout, [done = std::move(done)] { done(NoAnswer()); });
   else
     store_.Feed(table, after, wait, timeout, std::move(done));
--- a/standins/fleet/severable_store.h
+++ b/standins/fleet/severable_store.h
@@ -17,6 +17,8 @@
 
   // While cut, calls never arrive and have no answer.
   void set_cut(bool cut) { cut_ = cut; }
+  // Reads and feeds of this table have no answer; empty: none.
+  void set_cut_table(const std::string& table) { cut_table_ = table; }
 
   void Commit(const StoreTransaction& transaction,
               Duration timeout,
@@ -34,6 +36,7 @@
   VersionedStore& store_;
   TaskRunner& runner_;
   bool cut_ = false;
+  std::string cut_table_;
 };
 
 }  // namespace quetzalshelf
--- a/tests/batch/election_and_frontend_test.cc
+++ b/tests/batch/election_and_frontend_test.cc
@@ -291,9 +291,9 @@
   fixture.site.SetEvacuated(DomainId("cartago"), true);
   fixture.Submit(kJob, MakeJob(1, 1, false));
   fixture.Run(Duration(1'000));
-  const std::optional<LoadReport> report = fixture.DispatcherOf(0)->Report();
-  REQUIRE(report);
   const TimePoint now = fixture.runner.Now();
+  const std::optional<LoadReport> report = fixture.DispatcherOf(0)->Report(now);
+  REQUIRE(report);
   fixture.load.Update(EncodeLoadReport(*report), now);
   CHECK(fixture.load.Find(QueueName("plans"), now)->pending == 1);
   CHECK(fixture.load.Find(QueueName("holds"), now)->pending == 0);
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -85,6 +85,21 @@
   CHECK(answer.retry_after > Duration(0));
 }
 
+// Guards against a report that leaves out the jobs of the last seconds.
+TEST_CASE("A leader that cannot read new jobs does not report how many wait") {
+  WaitingJobs fixture;
+  fixture.nodes[0].store->set_cut_table("jobs");
+  for (int n = 0; n < 3 * kWaiting; ++n)
+    fixture.Submit("00000000000000" + std::to_string(20 + n),
+                   MakeJob(1, 1, false));
+  fixture.Run(Duration(5'000));
+  REQUIRE(fixture.Leader() == 0);
+  CHECK(fixture.Pending(2).outcome == CallOutcome::kNotReady);
+  fixture.nodes[0].store->set_cut_table("");
+  fixture.Run(Duration(2'000));
+  CHECK(fixture.Pending(2).pending == 4 * kWaiting);
+}
+
 // Guards against a count that callers get long after the leader has gone.
 TEST_CASE("A count is not told once it is older than two seconds") {
   WaitingJobs fixture;
