--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -17,7 +17,6 @@
 using nlohmann::json;
 
 constexpr char kJob[] = "00000000000000c1";
-constexpr Duration kLong{30'000};
 // A new leader leads and has synced all workers by then.
 constexpr Duration kTakeover{3'000};
 
