Let the soak ask every node for counts of waiting jobs

Change: each 100 ms every node is asked at the same moment for the count of one queue. A count under half of the jobs that were accepted over 5 s before and have not begun is a broken promise, on any node at any time.

--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -8,6 +8,7 @@
 
 #include "drivers/http/http_status.h"
 #include "standins/fleet/fleet_codec.h"
+#include "tests/soak/count_check.h"
 #include "tests/soak/soak_fleet.h"
 
 namespace quetzalshelf::soak {
@@ -49,6 +50,7 @@
   int tries = 0;
   bool ambiguous = false;  // A submission had no telling answer.
   bool accepted = false;
+  TimePoint accepted_at;
   bool refused = false;
   bool cancel_sent = false;
   bool settled = false;
@@ -67,7 +69,9 @@
                .max_header_bytes = 16'384}),
       workers_(workers),
       ports_(std::move(ports)),
+      began_(clock_.Now()),
       random_(seed),
+      count_random_(seed + 1),
       seed_(seed) {}
 
 batch::JobSpec SoakCallers::MakeSpec(size_t queue) {
@@ -92,17 +96,26 @@
                        const Job& job,
                        const std::string& body,
                        Callback done) {
+  HttpCall call =
+      MakeCall(method, std::string("/") + kQueues[job.queue] + "/" + job.id,
+               ports_[random_.Below(ports_.size())]);
+  call.body = body;
+  client_.Call(std::move(call), std::move(done));
+}
+
+HttpCall SoakCallers::MakeCall(const char* method,
+                               const std::string& target,
+                               int port) const {
   HttpCall call;
   call.host = "127.0.0.1";
-  call.port = ports_[random_.Below(ports_.size())];
+  call.port = port;
   call.method = method;
-  call.target = std::string("/") + kQueues[job.queue] + "/" + job.id;
+  call.target = target;
   call.headers = {{"Host", kHost},
                   {"Authorization", std::string("Token ") + kKey},
                   {"X-Deadline-Ms", std::to_string(kDeadline.count())}};
-  call.body = body;
   call.timeout = kDeadline;
-  client_.Call(std::move(call), std::move(done));
+  return call;
 }
 
 void SoakCallers::After(Duration least,
@@ -113,9 +126,19 @@
 }
 
 void SoakCallers::SubmitJob() {
+  SubmitTo(random_.Below(std::size(kQueues)));
+}
+
+void SoakCallers::SubmitSurge(int jobs) {
+  const size_t queue = random_.Below(std::size(kQueues));
+  for (int n = 0; n < jobs; ++n)
+    SubmitTo(queue);
+}
+
+void SoakCallers::SubmitTo(size_t queue) {
   auto job = std::make_shared<Job>();
   job->id = absl::StrFormat("%08x%08x", seed_, ++counts_.submitted);
-  job->queue = random_.Below(std::size(kQueues));
+  job->queue = queue;
   job->spec = MakeSpec(job->queue);
   jobs_.push_back(job);
   ++open_jobs_;
@@ -159,6 +182,7 @@
 void SoakCallers::OnAccepted(const JobPointer& job) {
   ++counts_.accepted;
   job->accepted = true;
+  job->accepted_at = clock_.Now();
   if (random_.Chance(kResubmitChance))
     After(Duration(0), kDeadline, [this, job] { Resubmit(job); });
   if (random_.Chance(kCancelChance))
@@ -260,6 +284,61 @@
   }
 }
 
+void SoakCallers::AskCounts() {
+  const size_t queue = count_random_.Below(std::size(kQueues));
+  const TimePoint now = clock_.Now();
+  for (size_t node = 0; node < ports_.size(); ++node) {
+    ++counts_.counts_asked;
+    client_.Call(
+        MakeCall("GET", std::string("/") + kQueues[queue] + "/", ports_[node]),
+        [this, node, queue, now](const absl::StatusOr<HttpResponse>& response) {
+          OnCount(node, queue, now, response);
+        });
+  }
+}
+
+void SoakCallers::OnCount(size_t node,
+                          size_t queue,
+                          TimePoint asked_at,
+                          const absl::StatusOr<HttpResponse>& response) {
+  if (!response.ok())
+    return;
+  if (response->status != http_status::kOk) {
+    counts_.counts_refused += IsRefusal(response->status) ? 1 : 0;
+    return;
+  }
+  ++counts_.counts_told;
+  const json body = json::parse(response->body, nullptr, false);
+  const int64_t told =
+      body.is_object() ? body.value("pending", int64_t{0}) : int64_t{0};
+  const int64_t owed = CountOwedJobs(queue, asked_at);
+  counts_.most_owed = std::max(counts_.most_owed, owed);
+  if (IsTooFew(told, owed)) {
+    violations_.push_back(absl::StrFormat(
+        "%d ms: node n%d told %d waiting jobs of queue %s, %d have waited "
+        "since %d ms or longer",
+        (asked_at - began_).count(), node, told, kQueues[queue], owed,
+        (asked_at - kCountCoverage - began_).count()));
+  }
+}
+
+int64_t SoakCallers::CountOwedJobs(size_t queue, TimePoint asked_at) const {
+  std::vector<WaitingJob> jobs;
+  for (const JobPointer& job : jobs_) {
+    if (job->queue != queue || !job->accepted)
+      continue;
+    bool has_begun = false;
+    for (int n = 0; n < job->spec.steps.front().tasks; ++n)
+      has_begun =
+          has_begun || workers_.starts({JobId(job->id), 0, 0, n}) > 0;
+    jobs.push_back({.accepted_at = job->accepted_at,
+                    .has_begun = has_begun,
+                    .may_be_over =
+                        job->cancel_sent || !job->final_state.empty()});
+  }
+  return CountOwed(jobs, asked_at);
+}
+
 void SoakCallers::Settle(const JobPointer& job) {
   if (!std::exchange(job->settled, true))
     --open_jobs_;
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -28,12 +28,17 @@
   int complete = 0;
   int cancelled = 0;
   int failed = 0;
+  int counts_asked = 0;
+  int counts_told = 0;
+  int counts_refused = 0;
+  int64_t most_owed = 0;  // Jobs that a count had to include.
 };
 
 // Promises checked, each as far as callers and workers can see it: an accepted
 // job is known and becomes final; a final state stays; a job is complete only
 // when its tasks are done, cancelled only when asked to, and failed only after
-// enough failures; a refused job never starts.
+// enough failures; a refused job never starts; a count of waiting jobs is at
+// least half of those that it must include.
 class SoakCallers {
  public:
   // `ports` are the nodes' on 127.0.0.1.
@@ -44,6 +49,10 @@
 
   // Submits one job and follows it to its end.
   void SubmitJob();
+  // Submits so many jobs of one queue at once.
+  void SubmitSurge(int jobs);
+  // Asks each node how many jobs of one queue wait.
+  void AskCounts();
   // Jobs that are not settled yet.
   int open_jobs() const { return open_jobs_; }
   // Checks what has to hold once all jobs are settled.
@@ -61,10 +70,19 @@
   using Callback = std::function<void(const absl::StatusOr<HttpResponse>&)>;
 
   batch::JobSpec MakeSpec(size_t queue);
+  void SubmitTo(size_t queue);
   void Call(const char* method,
             const Job& job,
             const std::string& body,
             Callback done);
+  HttpCall MakeCall(const char* method,
+                    const std::string& target,
+                    int port) const;
+  void OnCount(size_t node,
+               size_t queue,
+               TimePoint asked_at,
+               const absl::StatusOr<HttpResponse>& response);
+  int64_t CountOwedJobs(size_t queue, TimePoint asked_at) const;
   void After(Duration least, Duration most, std::function<void()> task);
   void SendSubmission(const JobPointer& job);
   void OnSubmission(const JobPointer& job,
@@ -85,7 +103,10 @@
   EventHttpClient client_;
   const ModelWorkers& workers_;
   const std::vector<int> ports_;
+  SystemClock clock_;
+  TimePoint began_;
   Random random_;
+  Random count_random_;
   const uint64_t seed_;
   CallerCounts counts_;
   int open_jobs_ = 0;
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/soak_faults.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzalshelf::soak {
@@ -47,14 +48,25 @@
 SoakFaults::SoakFaults(asio::io_context& io,
                        SoakFleet& fleet,
                        Nodes& nodes,
+                       const std::vector<std::string>& kinds,
                        uint64_t seed,
                        std::ostream& log)
-    : runner_(io), fleet_(fleet), nodes_(nodes), random_(seed), log_(log) {}
+    : runner_(io), fleet_(fleet), nodes_(nodes), random_(seed), log_(log) {
+  for (const Kind& it : kKinds) {
+    if (kinds.empty() || std::ranges::find(kinds, it.name) != kinds.end())
+      kinds_.push_back(&it);
+  }
+}
+
+bool SoakFaults::IsKind(const std::string& name) {
+  return std::ranges::any_of(
+      kKinds, [&](const Kind& it) { return it.name == name; });
+}
 
 void SoakFaults::InjectOne(TimePoint now) {
   if (began_ == TimePoint())
     began_ = now;
-  const Kind& kind = kKinds[random_.Below(std::size(kKinds))];
+  const Kind& kind = *kinds_[random_.Below(kinds_.size())];
   log_ << (now - began_).count() << " ms: " << kind.name << "\n";
   (this->*kind.inject)(now);
 }
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <ostream>
+#include <string>
 #include <vector>
 
 #include "core/random.h"
@@ -19,13 +20,17 @@
  public:
   using Nodes = std::vector<std::unique_ptr<EntryProcess>>;
 
-  // Each fault is written to `log` with the time since `began`.
+  // Each fault is written to `log` with the time since `began`. `kinds` names
+  // those to inject; empty: all.
   SoakFaults(asio::io_context& io,
              SoakFleet& fleet,
              Nodes& nodes,
+             const std::vector<std::string>& kinds,
              uint64_t seed,
              std::ostream& log);
 
+  static bool IsKind(const std::string& name);
+
   // Injects one fault, which ends by itself after a while.
   void InjectOne(TimePoint now);
   // Ends all faults and starts what is down.
@@ -78,6 +83,7 @@
   Nodes& nodes_;
   Random random_;
   std::ostream& log_;
+  std::vector<const Kind*> kinds_;
   TimePoint began_;
   // Ends of faults that are still in force; emptied when one has run.
   std::vector<std::shared_ptr<std::function<void()>>> ends_;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -31,6 +31,12 @@
 // About two thirds of what the workers can run.
 constexpr Duration kShortestJobGap{80};
 constexpr Duration kLongestJobGap{300};
+// Jobs that come at once, more than the workers can run in five seconds.
+constexpr Duration kShortestSurgeGap{4'000};
+constexpr Duration kLongestSurgeGap{8'000};
+constexpr int64_t kLeastSurgeJobs = 40;
+constexpr int64_t kMostSurgeJobs = 100;
+constexpr Duration kCountGap{100};
 constexpr Duration kShortestFaultGap{50};
 constexpr Duration kLongestFaultGap{900};
 // Jobs that are open this long after the last fault hang. Several times the
@@ -46,6 +52,7 @@
   std::string seeds = "1..2";
   int seconds = 12;
   int recovery_limit_s = 0;
+  std::vector<std::string> kinds;
   bool keep = false;
 };
 
@@ -64,6 +71,7 @@
         seed_(seed),
         dir_(options.work_dir + "/seed-" + std::to_string(seed)),
         random_(seed),
+        surge_random_(seed + 2),
         timer_(io_),
         fleet_(io_, seed) {}
 
@@ -99,10 +107,12 @@
     }
     callers_ = std::make_unique<SoakCallers>(io_, fleet_.workers(),
                                              std::move(ports), seed_);
-    faults_ =
-        std::make_unique<SoakFaults>(io_, fleet_, nodes_, seed_, fault_log_);
+    faults_ = std::make_unique<SoakFaults>(io_, fleet_, nodes_, options_.kinds,
+                                           seed_, fault_log_);
     began_ = clock_.Now();
     next_job_ = began_ + kStartTime;
+    next_surge_ = began_ + kStartTime + kShortestSurgeGap / 2;
+    next_count_ = began_ + kStartTime;
     next_fault_ = began_ + kStartTime + kLongestFaultGap;
     return absl::OkStatus();
   }
@@ -113,6 +123,10 @@
       if (const std::string problem = it->Tick(now); !problem.empty())
         violations_.push_back(problem);
     }
+    if (now >= next_count_) {
+      callers_->AskCounts();
+      next_count_ = now + kCountGap;
+    }
     const bool faulty = now < began_ + Duration(options_.seconds * 1'000);
     if (faulty)
       Disturb(now);
@@ -135,6 +149,12 @@
       callers_->SubmitJob();
       next_job_ += gap(kShortestJobGap, kLongestJobGap);
     }
+    while (now >= next_surge_) {
+      callers_->SubmitSurge(static_cast<int>(
+          surge_random_.Between(kLeastSurgeJobs, kMostSurgeJobs)));
+      next_surge_ += Duration(surge_random_.Between(kShortestSurgeGap.count(),
+                                                    kLongestSurgeGap.count()));
+    }
     while (now >= next_fault_) {
       faults_->InjectOne(now);
       next_fault_ += gap(kShortestFaultGap, kLongestFaultGap);
@@ -182,10 +202,13 @@
     const CallerCounts counts = callers_ ? callers_->counts() : CallerCounts();
     std::printf(
         "seed=%llu submitted=%d accepted=%d refused=%d unknown=%d complete=%d "
-        "cancelled=%d failed=%d starts=%d settled_ms=%lld violations=%zu\n",
+        "cancelled=%d failed=%d starts=%d counts=%d told=%d refused=%d "
+        "most_owed=%lld settled_ms=%lld violations=%zu\n",
         static_cast<unsigned long long>(seed_), counts.submitted,
         counts.accepted, counts.refused, counts.unknown, counts.complete,
         counts.cancelled, counts.failed, fleet_.workers().total_starts(),
+        counts.counts_asked, counts.counts_told, counts.counts_refused,
+        static_cast<long long>(counts.most_owed),
         static_cast<long long>(recovery.count()), violations_.size());
     for (const std::string& it : violations_)
       std::printf("  %s\n", it.c_str());
@@ -202,6 +225,7 @@
   const uint64_t seed_;
   const std::string dir_;
   Random random_;
+  Random surge_random_;
   SystemClock clock_;
   asio::io_context io_;
   asio::steady_timer timer_;
@@ -212,6 +236,8 @@
   std::unique_ptr<SoakFaults> faults_;
   TimePoint began_;
   TimePoint next_job_;
+  TimePoint next_surge_;
+  TimePoint next_count_;
   TimePoint next_fault_;
   std::optional<TimePoint> healed_at_;
   std::optional<TimePoint> settled_at_;
@@ -234,6 +260,13 @@
                  "Time for all jobs to be settled after the last fault; 0 for "
                  "no bound")
       ->check(CLI::NonNegativeNumber);
+  app.add_option("--kinds", options.kinds,
+                 "Kinds of fault to inject, as 'kill a node,pause a node'; "
+                 "all without it")
+      ->delimiter(',')
+      ->check([](const std::string& name) {
+        return SoakFaults::IsKind(name) ? "" : "unknown kind: " + name;
+      });
   app.add_flag("--keep", options.keep, "Keep the logs of good seeds too");
   CLI11_PARSE(app, argc, argv);
   bench::SeedRange seeds;
