Tell the age of a count of waiting jobs by the store's clock

Callers saw: a count that left out jobs accepted long before. A node counted the age of the leader's report from the moment at which it read the row. A node that starts, or that reaches the store again, reads a heartbeat of any age; and a heartbeat that the store writes seconds after it was sent replaces newer ones on all nodes. Each was told as new for two seconds.

Cause: data without the moment at which it was true. The links on the way (jobs read by the leader 1.8 s, heartbeat written 0.8 s and without bound if late, row read 1.2 s on small VMs, told 2 s) had a bound each, and no bound together.

Change: a report says up to which time of the store's clock all accepted jobs are counted. Each node bounds the store's clock from the answers to its own calls (StoreClock) and tells a count for two seconds after that time, whatever way the report took. A report older than the one before is not used. A node whose report is too old reads the row for the caller, and once more after the leader's period; without a leader it answers 503 with a time to come back. A report without a time, or with an entry without a count, is not used.

Tests: on these fail, each telling 4 where 12 wait: "A node that has just started does not tell an old count as new", "A node that reaches the store again ..", "A heartbeat that the store writes late .."; also "A node reads a recent report that it has not seen" (503 before). "A node without a report does not tell" asked a new node while the leader's report was 0.3 s old; that node now reads it and tells the right count, so the test has three cases in which there is none: no path to the store, only an old one, none stored. The codec's test has five texts more.

--- a/core/platform/versioned_store.h
+++ b/core/platform/versioned_store.h
@@ -4,7 +4,9 @@
 #ifndef CORE_PLATFORM_VERSIONED_STORE_H_
 #define CORE_PLATFORM_VERSIONED_STORE_H_
 
+#include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,18 @@
 
 namespace quetzalshelf {
 
+// Tag of the store's own steady clock. All nodes read the same one, from the
+// store's answers.
+struct StoreClockTag {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<StoreClockTag>;
+  static constexpr bool is_steady = true;
+};
+
+using StoreTime = StoreClockTag::time_point;
+
 // Names one row. Rows of one partition can be changed in one transaction.
 struct StoreKey {
   std::string table;
@@ -56,13 +70,15 @@
   bool committed = false;
   RowVersion version;
   std::vector<StoreRow> current;
+  std::optional<StoreTime> shown;  // By the store's clock when it answered.
 };
 
 // Rows as of one version of the store.
 struct StoreSnapshot {
   std::vector<StoreRow> rows;
   RowVersion version;
-  bool complete = true;  // False when more rows follow the last one.
+  bool complete = true;            // False when more rows follow the last one.
+  std::optional<StoreTime> shown;  // By the store's clock when it answered.
 };
 
 struct ReadRange {
--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -81,8 +81,10 @@
       seed_(seed),
       store_client_(io, ClientOptions(kIdleStoreConnections)),
       worker_client_(io, ClientOptions(kIdleWorkerConnections)),
-      store_(store_client_, settings.store),
+      platform_store_(store_client_, settings.store),
+      store_(platform_store_, clock_),
       workers_(worker_client_),
+      load_(store_.store_clock()),
       operator_watch_(store_, clock_, site_, seed),
       lease_(store_,
              clock_,
@@ -194,7 +196,7 @@
                                             : Duration(0));
   control_.Tick(now);
   lease_.Tick(now, control_.answering_since(), control_.answered_at());
-  load_.Update(lease_.report(), lease_.report_at());
+  load_.Update(lease_.report(), now);
   TickLeadership(now);
   if (stopped_)
     TickStop(now);
@@ -248,6 +250,7 @@
 void EntryNode::HandleStatus(const EventHttpServer::Reply& reply) {
   const TimePoint now = clock_.Now();
   const batch::SiteConfig* const config = site_.config();
+  const std::optional<Duration> load_age = load_.Age(now);
   const nlohmann::json status = {
       {"node", settings_.node.value()},
       {"failure_domain", settings_.domain.value()},
@@ -257,6 +260,7 @@
       {"config_version", config ? config->version : 0},
       {"config_age_ms", (now - site_.confirmed_at()).count()},
       {"load", nlohmann::json::parse(lease_.report(), nullptr, false)},
+      {"load_age_ms", load_age ? load_age->count() : -1},
       {"requests_in_flight", caller_server_.requests_in_flight()}};
   HttpResponse response;
   response.body = status.dump();
--- a/main/daemon/entry_node.h
+++ b/main/daemon/entry_node.h
@@ -28,6 +28,7 @@
 #include "servers/batch/leader_lease.h"
 #include "servers/batch/leadership.h"
 #include "servers/batch/load_report.h"
+#include "servers/batch/observed_store.h"
 #include "servers/batch/site_view.h"
 #include "servers/batch/table_follower.h"
 
@@ -69,7 +70,8 @@
   MetricsRegistry metrics_;
   EventHttpClient store_client_;
   EventHttpClient worker_client_;
-  platform::PlatformStore store_;
+  platform::PlatformStore platform_store_;
+  batch::ObservedStore store_;
   platform::WorkerClient workers_;
   batch::SiteView site_;
   batch::LoadView load_;
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -82,6 +82,8 @@
 
   // nullopt until the jobs have been read, and while new ones cannot be.
   std::optional<LoadReport> Report(TimePoint now) const;
+  // All jobs that were accepted before this time are known.
+  TimePoint jobs_confirmed_at() const { return job_rows_->confirmed_at(); }
 
  private:
   struct PlacementUnit;  // A gang, or the tasks of a step that wait for
--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -39,6 +39,11 @@
 // callers often ask only once, right after the last end. A state that is not
 // final is therefore read again after these delays.
 constexpr Duration kStateLags[] = {Duration(20), Duration(40)};
+// A report that is too old for a caller is read again after this, the leader's
+// heartbeat period. Without a leader it takes longer, so the caller is told to
+// come back.
+constexpr Duration kReportRetry{300};
+constexpr int kMaxReportReads = 2;
 // Left for the answer to travel to the caller before its deadline.
 constexpr Duration kAnswerMargin{150};
 // Retry-after for callers while the store or the configuration is unavailable.
@@ -165,7 +170,7 @@
                          TaskRunner& runner,
                          const Clock& clock,
                          const SiteView& site,
-                         const LoadView& load,
+                         LoadView& load,
                          JobFrontendOptions options)
     : store_(store),
       runner_(runner),
@@ -455,18 +460,65 @@
     done(route.refusal);
     return;
   }
+  TellCount(route.queue->name, caller.deadline - kAnswerMargin, 0, done);
+}
+
+void JobFrontend::TellCount(const QueueName& queue,
+                            TimePoint deadline,
+                            int reads,
+                            const Callback& done) {
   const TimePoint now = clock_.Now();
-  const std::optional<QueueLoad> load = load_.Find(route.queue->name, now);
-  if (!load) {
+  if (const std::optional<QueueLoad> load = load_.Find(queue, now)) {
+    CallAnswer answer = Answer(CallOutcome::kFound);
+    answer.pending = load->pending;
+    LOG(INFO) << "waiting jobs of queue " << queue
+              << ": pending=" << load->pending
+              << " age_ms=" << load_.Age(now)->count() << " reads=" << reads;
+    done(answer);
+    return;
+  }
+  if (reads == kMaxReportReads || now >= deadline) {
+    const std::optional<Duration> age = load_.Age(now);
+    LOG(WARNING) << "waiting jobs of queue " << queue
+                 << " are not known: age_ms=" << (age ? age->count() : -1)
+                 << " reads=" << reads;
     done(NotReady("no recent report of a leader says how many jobs wait"));
     return;
   }
-  CallAnswer answer = Answer(CallOutcome::kFound);
-  answer.pending = load->pending;
-  LOG(INFO) << "waiting jobs of queue " << route.queue->name
-            << ": pending=" << load->pending
-            << " report_age_ms=" << load_.Age(now).count();
-  done(answer);
+  ReadRow(HeartbeatRowKey(), deadline,
+          [this, queue, deadline, reads,
+           done](const absl::StatusOr<StoreSnapshot>& result) {
+            OnReport(queue, deadline, reads + 1, done, result);
+          });
+}
+
+void JobFrontend::OnReport(const QueueName& queue,
+                           TimePoint deadline,
+                           int reads,
+                           const Callback& done,
+                           const absl::StatusOr<StoreSnapshot>& result) {
+  if (!result.ok()) {
+    done(NotReady("the store does not answer"));
+    return;
+  }
+  if (result->rows.empty()) {
+    done(NotReady("no leader has reported yet how many jobs wait"));
+    return;
+  }
+  Findings findings;
+  const std::optional<Heartbeat> heartbeat =
+      DecodeHeartbeat(result->rows.front(), findings);
+  if (!heartbeat)
+    LOG(WARNING) << "heartbeat cannot be read: " << findings.ToString();
+  else if (heartbeat->report)
+    load_.Update(*heartbeat->report, clock_.Now());
+  if (load_.Find(queue, clock_.Now())) {
+    TellCount(queue, deadline, reads, done);
+    return;
+  }
+  runner_.PostAfter(kReportRetry, [this, queue, deadline, reads, done] {
+    TellCount(queue, deadline, reads, done);
+  });
 }
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/job_frontend.h
+++ b/servers/batch/job_frontend.h
@@ -83,7 +83,7 @@
               TaskRunner& runner,
               const Clock& clock,
               const SiteView& site,
-              const LoadView& load,
+              LoadView& load,
               JobFrontendOptions options);
 
   // The queue of a call and the rest of its path, or the reason to refuse it.
@@ -98,6 +98,8 @@
   void Submit(const CallerContext& caller, JobSpec spec, Callback done);
   void Cancel(const CallerContext& caller, Callback done);
   void State(const CallerContext& caller, Callback done);
+  // The count of waiting jobs; reads the leader's report if the one that this
+  // node knows is too old.
   void Pending(const CallerContext& caller, const Callback& done);
 
   bool IsReady(TimePoint now) const;
@@ -119,6 +121,15 @@
                const WorkspaceId& workspace,
                TimePoint deadline,
                std::function<void(CallAnswer)> done);
+  void TellCount(const QueueName& queue,
+                 TimePoint deadline,
+                 int reads,
+                 const Callback& done);
+  void OnReport(const QueueName& queue,
+                TimePoint deadline,
+                int reads,
+                const Callback& done,
+                const absl::StatusOr<StoreSnapshot>& result);
   void ReadRow(const StoreKey& id,
                TimePoint deadline,
                VersionedStore::ReadCallback done);
@@ -128,7 +139,7 @@
   TaskRunner& runner_;
   const Clock& clock_;
   const SiteView& site_;
-  const LoadView& load_;
+  LoadView& load_;
   JobFrontendOptions options_;
   AnswerTime write_time_;
 };
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -40,6 +40,21 @@
   return {kControlTable, kLeaderPartition, "heartbeat"};
 }
 
+std::optional<Heartbeat> DecodeHeartbeat(const StoreRow& row,
+                                         Findings& findings) {
+  const std::optional<json> value = ParseJson(row.value, findings);
+  if (!value)
+    return std::nullopt;
+  JsonReader reader(*value, row.id.key, findings);
+  Heartbeat heartbeat;
+  heartbeat.released = reader.OptionalBool("released", false);
+  if (value->is_object() && value->contains("report"))
+    heartbeat.report = reader.OptionalString("report", "", kMaxReportBytes);
+  if (!findings.empty())
+    return std::nullopt;
+  return heartbeat;
+}
+
 LeaderLease::LeaderLease(VersionedStore& store,
                          const Clock& clock,
                          LeaderLeaseOptions options,
@@ -108,21 +123,14 @@
   heartbeat_version_ = row.version;
   ObserveHeartbeat(now);
   Findings findings;
-  const std::optional<json> value = ParseJson(row.value, findings);
-  if (value) {
-    JsonReader reader(*value, row.id.key, findings);
-    released_ = reader.OptionalBool("released", false);
-    if (value->is_object() && value->contains("report")) {
-      const std::string report =
-          reader.OptionalString("report", "", kMaxReportBytes);
-      if (findings.empty()) {
-        report_ = report;
-        report_at_ = now;
-      }
-    }
-  }
-  if (!findings.empty())
+  const std::optional<Heartbeat> heartbeat = DecodeHeartbeat(row, findings);
+  if (!heartbeat) {
     LOG(WARNING) << "heartbeat cannot be read: " << findings.ToString();
+    return;
+  }
+  released_ = heartbeat->released;
+  if (heartbeat->report)
+    report_ = *heartbeat->report;
 }
 
 void LeaderLease::Tick(TimePoint now,
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "core/finding.h"
 #include "core/ids.h"
 #include "core/platform/versioned_store.h"
 #include "core/random.h"
@@ -54,6 +55,16 @@
 StoreKey EpochRowKey();
 StoreKey HeartbeatRowKey();
 
+struct Heartbeat {
+  bool released = false;  // The leader gave its leadership up.
+  // The load report; nullopt if the leader left it out.
+  std::optional<std::string> report;
+};
+
+// nullopt, with findings, for a row that cannot be read.
+std::optional<Heartbeat> DecodeHeartbeat(const StoreRow& row,
+                                         Findings& findings);
+
 class LeaderLease {
  public:
   // Returns the load report that is sent to all nodes with each heartbeat;
@@ -89,10 +100,9 @@
   const FencingToken& fencing_token() const { return fencing_token_; }
   // When the last write was sent that showed that this node still led.
   TimePoint confirmed_at() const { return confirmed_at_; }
-  // The newest report of a leader, and when it arrived; TimePoint() if none
-  // has.
+  // The report of the heartbeat that was read last; it may have been written
+  // late. Empty if none has come.
   const std::string& report() const { return report_; }
-  TimePoint report_at() const { return report_at_; }
 
  private:
   void OnEpochRow(const StoreRow& row, TimePoint now);
@@ -132,7 +142,6 @@
   Duration heartbeat_gap_{0};  // Mean time between heartbeats as seen here.
   bool released_ = false;
   std::string report_;
-  TimePoint report_at_;
 
   bool leading_ = false;
   bool retired_ = false;  // Released leadership; never acquires it again.
--- a/servers/batch/leadership.cc
+++ b/servers/batch/leadership.cc
@@ -4,7 +4,7 @@
 
 namespace quetzalshelf::batch {
 
-Leadership::Leadership(VersionedStore& store,
+Leadership::Leadership(ObservedStore& store,
                        WorkerPort& workers,
                        const Clock& clock,
                        const SiteView& site,
@@ -20,13 +20,19 @@
       lease_(lease),
       options_(options),
       seed_(seed) {
-  lease_.set_report_source([this]() -> std::optional<std::string> {
-    const auto report =
-        dispatcher_ ? dispatcher_->Report(clock_.Now()) : std::nullopt;
-    if (!report)
-      return std::nullopt;
-    return EncodeLoadReport(*report);
-  });
+  lease_.set_report_source([this] { return MakeLoadReport(clock_.Now()); });
+}
+
+std::optional<std::string> Leadership::MakeLoadReport(TimePoint now) const {
+  std::optional<LoadReport> report =
+      dispatcher_ ? dispatcher_->Report(now) : std::nullopt;
+  const std::optional<StoreTime> as_of =
+      report ? store_.store_clock().Earliest(dispatcher_->jobs_confirmed_at())
+             : std::nullopt;
+  if (!as_of)
+    return std::nullopt;
+  report->as_of = *as_of;
+  return EncodeLoadReport(*report);
 }
 
 void Leadership::Update(TimePoint now) {
--- a/servers/batch/leadership.h
+++ b/servers/batch/leadership.h
@@ -6,14 +6,15 @@
 #define SERVERS_BATCH_LEADERSHIP_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/metrics.h"
-#include "core/platform/versioned_store.h"
 #include "core/time.h"
 #include "servers/batch/dispatcher.h"
 #include "servers/batch/leader_lease.h"
 #include "servers/batch/lease_handover.h"
+#include "servers/batch/observed_store.h"
 #include "servers/batch/site_view.h"
 #include "servers/batch/worker_port.h"
 
@@ -23,7 +24,7 @@
  public:
   // Gives `lease` its load reports; the lease must not be ticked once the
   // leadership has been destroyed.
-  Leadership(VersionedStore& store,
+  Leadership(ObservedStore& store,
              WorkerPort& workers,
              const Clock& clock,
              const SiteView& site,
@@ -52,8 +53,10 @@
 
  private:
   void EndDispatcher(TimePoint now);
+  // nullopt while this node does not lead or its view of the jobs is too old.
+  std::optional<std::string> MakeLoadReport(TimePoint now) const;
 
-  VersionedStore& store_;
+  ObservedStore& store_;
   WorkerPort& workers_;
   const Clock& clock_;
   const SiteView& site_;
--- a/servers/batch/load_report.cc
+++ b/servers/batch/load_report.cc
@@ -1,6 +1,7 @@
 #include "servers/batch/load_report.h"
 
 #include <limits>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr int64_t kMaxCount = std::numeric_limits<int32_t>::max();
+constexpr int64_t kMaxMillis = std::numeric_limits<int64_t>::max();
 // Callers are promised counts that are no older than this.
 constexpr Duration kMaxReportAge{2'000};
 
@@ -25,21 +27,27 @@
     queues[name.value()] = {{"pending", load.pending},
                             {"wait_ms", load.wait.count()}};
   }
-  return queues.dump();
+  return json{{"as_of_ms", report.as_of.time_since_epoch().count()},
+              {"queues", std::move(queues)}}
+      .dump();
 }
 
 std::optional<LoadReport> DecodeLoadReport(const std::string& text) {
-  const json queues = json::parse(text, nullptr, false);
-  if (!queues.is_object()) {
-    LOG(WARNING) << "load report cannot be read and is not used";
+  Findings findings;
+  const std::optional<json> body = ParseJson(text, findings);
+  if (!body) {
+    LOG(WARNING) << "load report cannot be read and is not used: "
+                 << findings.ToString();
     return std::nullopt;
   }
   LoadReport report;
-  Findings findings;
-  for (const auto& [name, load] : queues.items()) {
+  JsonReader root(*body, "report", findings);
+  report.as_of =
+      StoreTime(Duration(root.RequireInt("as_of_ms", -kMaxMillis, kMaxMillis)));
+  for (const auto& [name, load] : root.RequireObject("queues").items()) {
     JsonReader reader(load, name, findings);
     QueueLoad& queue = report.queues[QueueName(name)];
-    queue.pending = reader.OptionalInt("pending", 0, kMaxCount, 0);
+    queue.pending = reader.RequireInt("pending", 0, kMaxCount);
     queue.wait = Duration(reader.OptionalInt("wait_ms", 0, kMaxCount, 0));
   }
   if (!findings.empty()) {
@@ -50,19 +58,34 @@
   return report;
 }
 
-void LoadView::Update(const std::string& text, TimePoint received) {
-  if (received == received_)
-    return;
-  received_ = received;
+void LoadView::Update(const std::string& text, TimePoint now) {
   if (text == text_)
     return;
   text_ = text;
-  report_ = DecodeLoadReport(text);
+  std::optional<LoadReport> report = DecodeLoadReport(text);
+  if (!report)
+    return;
+  // A report of a time to come is from before the store's clock went back.
+  const bool may_keep = Age(now).has_value();
+  if (may_keep && report->as_of < report_->as_of) {
+    LOG(INFO) << "load report is older than the one before and is not used: "
+              << "older_by_ms=" << (report_->as_of - report->as_of).count();
+    return;
+  }
+  report_ = std::move(report);
+}
+
+std::optional<Duration> LoadView::Age(TimePoint now) const {
+  const std::optional<StoreTime> latest = store_clock_.Latest(now);
+  if (!report_ || !latest || report_->as_of > *latest)
+    return std::nullopt;
+  return *latest - report_->as_of;
 }
 
 std::optional<QueueLoad> LoadView::Find(const QueueName& queue,
                                         TimePoint now) const {
-  if (!report_ || Age(now) > kMaxReportAge)
+  if (const std::optional<Duration> age = Age(now);
+      !age || *age > kMaxReportAge)
     return std::nullopt;
   const auto it = report_->queues.find(queue);
   return it == report_->queues.end() ? QueueLoad() : it->second;
--- a/servers/batch/load_report.h
+++ b/servers/batch/load_report.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/time.h"
+#include "servers/batch/store_clock.h"
 #include "servers/batch/types.h"
 
 namespace quetzalshelf::batch {
@@ -19,6 +20,9 @@
 };
 
 struct LoadReport {
+  // All jobs that were accepted up to then are counted.
+  StoreTime as_of;
+  // Queues without waiting jobs are left out.
   std::map<QueueName, QueueLoad> queues;
 };
 
@@ -26,20 +30,25 @@
 // nullopt for text that cannot be read.
 std::optional<LoadReport> DecodeLoadReport(const std::string& text);
 
-// The newest readable report that this node has seen.
+// The newest readable report that this node has seen. Reports may arrive in any
+// order and late: a store may carry out a write seconds after it was sent.
 class LoadView {
  public:
-  // `received` is when the report arrived.
-  void Update(const std::string& text, TimePoint received);
+  // `store_clock` is that of the store from which the reports are read.
+  explicit LoadView(const StoreClock& store_clock)
+      : store_clock_(store_clock) {}
+
+  void Update(const std::string& text, TimePoint now);
   // nullopt while no report is known or the newest one is too old to answer
   // callers with.
   std::optional<QueueLoad> Find(const QueueName& queue, TimePoint now) const;
-  // Time since the newest report arrived.
-  Duration Age(TimePoint now) const { return now - received_; }
+  // Jobs that were accepted longer ago than this are counted in the newest
+  // report; nullopt without a report, or if the store's clock has gone back.
+  std::optional<Duration> Age(TimePoint now) const;
 
  private:
-  std::string text_;
-  TimePoint received_;
+  const StoreClock& store_clock_;
+  std::string text_;  // As last read, readable or not.
   std::optional<LoadReport> report_;
 };
 
--- a/standins/fleet/fleet_servers.cc
+++ b/standins/fleet/fleet_servers.cc
@@ -80,12 +80,14 @@
 }
 
 VersionedStore::ReadCallback RespondWithRows(
-    const EventHttpServer::Reply& reply) {
-  return [reply](const absl::StatusOr<StoreSnapshot>& result) {
+    const EventHttpServer::Reply& reply,
+    const Clock& clock) {
+  return [reply, &clock](const absl::StatusOr<StoreSnapshot>& result) {
     if (result.ok()) {
       Respond(reply, http_status::kOk,
               {{"rows", EncodeRows(result->rows)},
                {"ver", result->version.value()},
+               {"now_ms", ToMillis(clock.Now())},
                {"has_more", !result->complete}});
     } else if (absl::IsOutOfRange(result.status())) {
       Respond(reply, http_status::kGone);
@@ -206,12 +208,13 @@
     return;
   }
   store_.Commit(DecodeTransaction(body), kPatience,
-                [reply](const absl::StatusOr<CommitOutcome>& result) {
+                [this, reply](const absl::StatusOr<CommitOutcome>& result) {
                   if (absl::IsUnavailable(result.status()))
                     Respond(reply, http_status::kServiceUnavailable);
                   if (!result.ok())
                     return;
-                  json answer = {{"ver", result->version.value()}};
+                  json answer = {{"ver", result->version.value()},
+                                 {"now_ms", ToMillis(clock_.Now())}};
                   if (!result->committed)
                     answer["rows"] = EncodeRows(result->current);
                   Respond(reply,
@@ -225,7 +228,7 @@
                        const EventHttpServer::Reply& reply) {
   store_.Read({request.Query("table"), request.Query("part"),
                request.Query("from"), request.Query("to")},
-              kPatience, RespondWithRows(reply));
+              kPatience, RespondWithRows(reply, clock_));
 }
 
 void StoreServer::Feed(const HttpRequest& request,
@@ -233,7 +236,7 @@
   store_.Feed(request.Query("table"),
               RowVersion(NumberOf(request.Query("depends_on"))),
               Duration(NumberOf(request.Query("wait_ms"))), kPatience,
-              RespondWithRows(reply));
+              RespondWithRows(reply, clock_));
 }
 
 WorkerServer::WorkerServer(asio::io_context& io,
--- a/standins/fleet/fleet_servers.h
+++ b/standins/fleet/fleet_servers.h
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 
 #include "core/platform/versioned_store.h"
+#include "drivers/clock/system_clock.h"
 #include "drivers/http/event_http_server.h"
 #include "servers/batch/worker_port.h"
 
@@ -29,6 +30,7 @@
   void Feed(const HttpRequest& request, const EventHttpServer::Reply& reply);
 
   VersionedStore& store_;
+  SystemClock clock_;  // The store's own.
   EventHttpServer server_;
 };
 
--- a/standins/fleet/memory_versioned_store.cc
+++ b/standins/fleet/memory_versioned_store.cc
@@ -9,12 +9,20 @@
 
 // The platform's limit of one answer.
 constexpr size_t kMaxRowsRead = 500;
+constexpr Duration kClockOrigin{7'000'000};
 
 }  // namespace
 
 MemoryVersionedStore::MemoryVersionedStore(TaskRunner& runner,
-                                           Duration answer_time)
-    : runner_(runner), answer_time_(answer_time) {}
+                                           Duration answer_time,
+                                           const Clock* clock)
+    : runner_(runner), answer_time_(answer_time), clock_(clock) {}
+
+std::optional<StoreTime> MemoryVersionedStore::Shown() const {
+  if (!clock_)
+    return std::nullopt;
+  return StoreTime(clock_->Now().time_since_epoch() + kClockOrigin);
+}
 
 void MemoryVersionedStore::Commit(const StoreTransaction& transaction,
                                   Duration timeout,
@@ -72,6 +80,7 @@
     WakeWaiters();
   }
   outcome.version = version_;
+  outcome.shown = Shown();
   return outcome;
 }
 
@@ -101,10 +110,11 @@
 }
 
 void MemoryVersionedStore::Answer(ReadCallback done, StoreSnapshot snapshot) {
-  runner_.PostAfter(answer_time_,
-                    [done = std::move(done), snapshot = std::move(snapshot)] {
-                      done(snapshot);
-                    });
+  runner_.PostAfter(answer_time_, [this, done = std::move(done),
+                                   snapshot = std::move(snapshot)]() mutable {
+    snapshot.shown = Shown();
+    done(snapshot);
+  });
 }
 
 void MemoryVersionedStore::Read(const ReadRange& range,
--- a/standins/fleet/memory_versioned_store.h
+++ b/standins/fleet/memory_versioned_store.h
@@ -25,7 +25,11 @@
 
 class MemoryVersionedStore : public VersionedStore {
  public:
-  MemoryVersionedStore(TaskRunner& runner, Duration answer_time);
+  // Answers show the store's clock, which is `clock` with another origin. They
+  // show none without it.
+  MemoryVersionedStore(TaskRunner& runner,
+                       Duration answer_time,
+                       const Clock* clock = nullptr);
 
   void Commit(const StoreTransaction& transaction,
               Duration timeout,
@@ -64,8 +68,11 @@
                                   RowVersion after) const;
   void Answer(ReadCallback done, StoreSnapshot snapshot);
 
+  std::optional<StoreTime> Shown() const;
+
   TaskRunner& runner_;
   Duration answer_time_;
+  const Clock* clock_;
   MemoryStoreFaults faults_;
   std::map<StoreKey, StoreRow> rows_;
   std::vector<StoreRow> history_;
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -62,11 +62,12 @@
 }
 
 BatchFixture::BatchFixture(int racks, int workers_a_rack)
-    : store(runner, kAnswerTime),
+    : store(runner, kAnswerTime, &runner),
       workers(runner,
               runner,
               kAnswerTime,
               [this](const TaskId&) { return run_time; }),
+      load(store_clock),
       frontend(store, runner, runner, site, load, {}) {
   for (int rack = 0; rack < racks; ++rack) {
     for (int n = 0; n < workers_a_rack; ++n) {
@@ -80,27 +81,32 @@
   site.Confirm(runner.Now());
 }
 
-void BatchFixture::AddNode(const std::string& name) {
+void BatchFixture::AddNode(const std::string& name, double cpu_share) {
   LeaderLeaseOptions options;
   options.node = NodeId(name);
+  options.cpu_share = cpu_share;
   options.incarnation = IncarnationId(name + "-" + std::to_string(++seed_));
   Node node;
   node.store = std::make_unique<SeverableStore>(store, runner);
+  node.observed = std::make_unique<ObservedStore>(*node.store, runner);
+  node.load = std::make_unique<LoadView>(node.observed->store_clock());
+  node.frontend = std::make_unique<JobFrontend>(
+      *node.observed, runner, runner, site, *node.load, JobFrontendOptions());
   node.workers = std::make_unique<SeverableWorkers>(workers, runner);
   node.lease =
-      std::make_unique<LeaderLease>(*node.store, runner, options, seed_);
+      std::make_unique<LeaderLease>(*node.observed, runner, options, seed_);
   LeaderLease* const lease = node.lease.get();
   const auto on_rows = [this, lease](const std::vector<StoreRow>& rows) {
     lease->OnRows(rows, runner.Now());
   };
   node.control = std::make_unique<TableFollower>(
-      *node.store, runner,
+      *node.observed, runner,
       TableFollowerOptions{.table = kControlTable,
                            .partitions = {kLeaderPartition},
                            .poll = kControlPoll},
       on_rows, on_rows, seed_);
   node.leadership = std::make_unique<Leadership>(
-      *node.store, *node.workers, runner, site, metrics, *node.lease,
+      *node.observed, *node.workers, runner, site, metrics, *node.lease,
       dispatcher_options, ++seed_);
   nodes.push_back(std::move(node));
 }
@@ -189,11 +195,13 @@
 }
 
 CallAnswer BatchFixture::Pending(size_t node, const std::string& queue) {
-  const LeaderLease& lease = *nodes[node].lease;
-  load.Update(lease.report(), lease.report_at());
-  CallAnswer answer;
-  frontend.Pending(Caller(queue), [&](const CallAnswer& it) { answer = it; });
-  return answer;
+  nodes[node].load->Update(nodes[node].lease->report(), runner.Now());
+  std::optional<CallAnswer> answer;
+  nodes[node].frontend->Pending(Caller(queue),
+                                [&](const CallAnswer& it) { answer = it; });
+  while (!answer)
+    Run(kStep);
+  return *answer;
 }
 
 JobPhase BatchFixture::RunUntilFinal(const std::string& id, Duration limit) {
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -13,6 +13,7 @@
 #include "servers/batch/job_frontend.h"
 #include "servers/batch/leader_lease.h"
 #include "servers/batch/leadership.h"
+#include "servers/batch/observed_store.h"
 #include "standins/fleet/memory_versioned_store.h"
 #include "standins/fleet/model_workers.h"
 #include "standins/fleet/severable_store.h"
@@ -32,14 +33,18 @@
 
   struct Node {
     std::unique_ptr<SeverableStore> store;
+    std::unique_ptr<ObservedStore> observed;
     std::unique_ptr<SeverableWorkers> workers;
+    std::unique_ptr<LoadView> load;
+    std::unique_ptr<JobFrontend> frontend;
     std::unique_ptr<LeaderLease> lease;
     std::unique_ptr<TableFollower> control;
     std::unique_ptr<Leadership> leadership;
     bool paused = false;  // Gets no turns; answers still reach it.
   };
 
-  void AddNode(const std::string& name);
+  // `cpu_share` is its share of a core.
+  void AddNode(const std::string& name, double cpu_share = 1);
   // Ends the process of a node at once.
   void Kill(size_t node);
   // Gives the leadership of a node up, as at a planned stop.
@@ -59,7 +64,7 @@
                     const std::string& queue = "/plans/");
   CallAnswer Cancel(const std::string& id);
   CallAnswer State(const std::string& id);
-  // The count of waiting jobs that a node tells.
+  // The count of waiting jobs that a node tells; runs until it answers.
   CallAnswer Pending(size_t node, const std::string& queue = "/plans/");
 
   // The list of workers as the platform gives it to the leader.
@@ -68,6 +73,7 @@
   MemoryVersionedStore store;
   ModelWorkers workers;
   SiteView site;
+  StoreClock store_clock;
   LoadView load;
   MetricsRegistry metrics;
   JobFrontend frontend;
--- a/tests/batch/election_and_frontend_test.cc
+++ b/tests/batch/election_and_frontend_test.cc
@@ -112,10 +112,17 @@
 // Guards against a process that ends because of such a report, and against a
 // count that it does not hold.
 TEST_CASE("A load report with wrong types is not used") {
-  LoadView load;
   const TimePoint now{Duration(1'000)};
+  StoreClock store_clock;
+  store_clock.Observe(StoreTime(Duration(7)), now, now);
+  LoadView load(store_clock);
   for (const char* const text :
-       {"", "not json", "[1,", R"({"plans":{"pending":"many"},"holds":4})"}) {
+       {"", "not json", "[1,",
+        R"({"as_of_ms":7,"queues":{"plans":{"pending":"many"},"holds":4}})",
+        R"({"as_of_ms":7,"queues":{"plans":{}}})", R"({"as_of_ms":7})",
+        R"({"as_of_ms":"7","queues":{"plans":{"pending":1}}})",
+        R"({"queues":{"plans":{"pending":1}}})",
+        R"({"plans":{"pending":1}})"}) {
     CAPTURE(text);
     load.Update(text, now);
     CHECK_FALSE(load.Find(QueueName("plans"), now));
@@ -292,8 +299,10 @@
   fixture.Submit(kJob, MakeJob(1, 1, false));
   fixture.Run(Duration(1'000));
   const TimePoint now = fixture.runner.Now();
-  const std::optional<LoadReport> report = fixture.DispatcherOf(0)->Report(now);
+  std::optional<LoadReport> report = fixture.DispatcherOf(0)->Report(now);
   REQUIRE(report);
+  report->as_of = StoreTime(Duration(7));
+  fixture.store_clock.Observe(report->as_of, now, now);
   fixture.load.Update(EncodeLoadReport(*report), now);
   CHECK(fixture.load.Find(QueueName("plans"), now)->pending == 1);
   CHECK(fixture.load.Find(QueueName("holds"), now)->pending == 0);
--- a/tests/batch/order_of_answers_test.cc
+++ b/tests/batch/order_of_answers_test.cc
@@ -78,7 +78,9 @@
   REQUIRE(port.syncs.size() == 1);
   port.AnswerSync({}, ToMillis(runner.Now()));
 
-  JobFrontend frontend(store, runner, runner, site, {}, {});
+  const StoreClock store_clock;
+  LoadView load(store_clock);
+  JobFrontend frontend(store, runner, runner, site, load, {});
   frontend.Submit({"desk.example", "/plans/00000000000000a1", "key-plaza",
                    runner.Now() + Duration(3'000)},
                   MakeJob(1, 1, false), [](const CallAnswer&) {});
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -39,19 +39,41 @@
   return counts;
 }
 
+// Jobs that are submitted after the first ones.
+constexpr int kLater = 8;
+constexpr int kAll = kWaiting + kLater;
+
 // Nodes n1 to n3, of which n1 leads; jobs wait since no task may start.
 struct WaitingJobs : LeaderFixture {
-  WaitingJobs() {
-    AddNode("n2");
-    AddNode("n3");
+  // `cpu_share` is that of n2 and n3; n1 has a whole core.
+  explicit WaitingJobs(double cpu_share = 1) {
+    AddNode("n2", cpu_share);
+    AddNode("n3", cpu_share);
     site.SetEvacuated(DomainId("cartago"), true);
     for (int n = 0; n < kWaiting; ++n)
       Submit("000000000000000" + std::to_string(n), MakeJob(1, 1, false));
     Run(Duration(600));
     REQUIRE(Leader() == 0);
   }
+
+  void SubmitLater() {
+    for (int n = 0; n < kLater; ++n)
+      Submit("00000000000000" + std::to_string(20 + n), MakeJob(1, 1, false));
+  }
 };
 
+// The least count that a node tells over some time; `kAll` if it tells none.
+int64_t LeastTold(BatchFixture& fixture, size_t node, Duration duration) {
+  int64_t least = kAll;
+  for (Duration passed{0}; passed < duration; passed += kStep) {
+    fixture.Run(kStep);
+    const CallAnswer answer = fixture.Pending(node);
+    if (answer.outcome == CallOutcome::kFound)
+      least = std::min(least, answer.pending);
+  }
+  return least;
+}
+
 }  // namespace
 
 // Guards against a count of 0 from all nodes after each change of leader,
@@ -79,12 +101,31 @@
   fixture.nodes[1].paused = true;
   fixture.nodes[2].paused = true;
   fixture.Kill(0);
-  fixture.AddNode("n4");
+  SUBCASE("none can be read") {
+    fixture.AddNode("n4");
+    fixture.nodes[3].store->set_cut(true);
+  }
+  SUBCASE("the stored one is old") {
+    fixture.Run(Duration(2'500));
+    fixture.AddNode("n4");
+  }
+  SUBCASE("none was stored") {
+    fixture.store.Delete(HeartbeatRowKey());
+    fixture.AddNode("n4");
+  }
   const CallAnswer answer = fixture.Pending(3);
   CHECK(answer.outcome == CallOutcome::kNotReady);
   CHECK(answer.retry_after > Duration(0));
 }
 
+TEST_CASE("A node reads a recent report that it has not seen") {
+  WaitingJobs fixture;
+  fixture.AddNode("n4");
+  const CallAnswer answer = fixture.Pending(3);
+  CHECK(answer.outcome == CallOutcome::kFound);
+  CHECK(answer.pending == kWaiting);
+}
+
 // Guards against a report that leaves out the jobs of the last seconds.
 TEST_CASE("A leader that cannot read new jobs does not report how many wait") {
   WaitingJobs fixture;
@@ -153,4 +194,46 @@
   CHECK(Watch(fixture, 1, Duration(4'000)).highest == 0);
 }
 
+// Guards against a count whose age counts from the read of its row.
+TEST_CASE("A node that has just started does not tell an old count as new") {
+  WaitingJobs fixture;
+  fixture.nodes[1].paused = true;
+  fixture.nodes[2].paused = true;
+  fixture.Kill(0);
+  fixture.SubmitLater();
+  fixture.Run(Duration(6'000));
+  fixture.AddNode("n4");
+  CHECK(LeastTold(fixture, 3, Duration(5'000)) == kAll);
+  CHECK(fixture.Pending(3).pending == kAll);
+}
+
+// Guards against a count whose age counts from the read of its row.
+TEST_CASE("A node that reaches the store again does not tell an old count") {
+  WaitingJobs fixture;
+  fixture.nodes[2].store->set_cut(true);
+  fixture.nodes[1].paused = true;
+  fixture.Run(Duration(700));
+  fixture.Kill(0);
+  fixture.SubmitLater();
+  fixture.Run(Duration(6'000));
+  fixture.nodes[2].store->set_cut(false);
+  CHECK(LeastTold(fixture, 2, Duration(5'000)) == kAll);
+  CHECK(fixture.Pending(2).pending == kAll);
+}
+
+// Guards against a late write that replaces newer counts on every node.
+TEST_CASE("A heartbeat that the store writes late is not told as new") {
+  // Small VMs wait longer before they take over, so that n1 leads on.
+  WaitingJobs fixture(0.2);
+  fixture.store.faults().lateness = Duration(5'000);
+  fixture.store.faults().late_commits = 1;
+  fixture.Run(Duration(400));
+  REQUIRE(fixture.store.faults().late_commits == 0);
+  fixture.SubmitLater();
+  fixture.Run(Duration(2'000));
+  REQUIRE(fixture.Pending(1).pending == kAll);
+  CHECK(LeastTold(fixture, 1, Duration(5'000)) == kAll);
+  CHECK(fixture.Pending(1).pending == kAll);
+}
+
 }  // namespace quetzalshelf::batch
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -242,7 +242,8 @@
                       {"127.0.0.1", store_peer.server.port()});
   SystemClock clock;
   batch::SiteView site;
-  batch::LoadView load;
+  batch::StoreClock store_clock;
+  batch::LoadView load(store_clock);
   AsioTaskRunner runner(store_peer.io);
   batch::JobFrontend frontend(store, runner, clock, site, load, {});
   MetricsRegistry metrics;
@@ -284,10 +285,13 @@
   CHECK(call("POST", kPath, "nonsense").status == 400);
   CHECK(call("POST", "/b/00000000000000a1", kBody).status == 404);
   CHECK(call("PATCH", kPath).status == 405);
+  store_peer.Answer(200, R"({"ver":2,"rows":[]})");
   const HttpResponse unknown = call("GET", "/a/");
   CHECK(unknown.status == 503);
   CHECK_FALSE(FindField(unknown.headers, "Retry-After").empty());
-  load.Update(R"({"q":{"pending":3,"wait_ms":0}})", clock.Now());
+  store_clock.Observe(StoreTime(Duration(7)), clock.Now(), clock.Now());
+  load.Update(R"({"as_of_ms":7,"queues":{"q":{"pending":3,"wait_ms":0}}})",
+              clock.Now());
   CHECK(call("GET", "/a/").body == R"({"pending":3})");
   // {"phase":"running","workspace":"t"}
   const json running = {
--- a/tests/soak/count_check.h
+++ b/tests/soak/count_check.h
@@ -18,7 +18,7 @@
 struct WaitingJob {
   // When the caller got the answer; nullopt if no answer told.
   std::optional<TimePoint> accepted_at;
-  bool has_begun = false;  // A worker has started one of its tasks.
+  bool has_begun = false;    // A worker has started one of its tasks.
   bool may_be_over = false;  // A cancel was sent, or it was shown as final.
 };
 
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -329,12 +329,11 @@
       continue;
     bool has_begun = false;
     for (int n = 0; n < job->spec.steps.front().tasks; ++n)
-      has_begun =
-          has_begun || workers_.starts({JobId(job->id), 0, 0, n}) > 0;
-    jobs.push_back({.accepted_at = job->accepted_at,
-                    .has_begun = has_begun,
-                    .may_be_over =
-                        job->cancel_sent || !job->final_state.empty()});
+      has_begun = has_begun || workers_.starts({JobId(job->id), 0, 0, n}) > 0;
+    jobs.push_back(
+        {.accepted_at = job->accepted_at,
+         .has_begun = has_begun,
+         .may_be_over = job->cancel_sent || !job->final_state.empty()});
   }
   return CountOwed(jobs, asked_at);
 }
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -59,8 +59,8 @@
 }
 
 bool SoakFaults::IsKind(const std::string& name) {
-  return std::ranges::any_of(
-      kKinds, [&](const Kind& it) { return it.name == name; });
+  return std::ranges::any_of(kKinds,
+                             [&](const Kind& it) { return it.name == name; });
 }
 
 void SoakFaults::InjectOne(TimePoint now) {
