Count a recovered start as begun only once a worker tells of it

Callers saw: two nodes told 0 waiting jobs at the same moment while a job had waited for over 5 s.

Cause: an intention was taken for a fact. A run is recorded before it is ordered, so a state row does not say that any worker has it.

Change: a job has begun when a worker confirmed a start or listed a run or an end, or a state row says so.

--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -267,14 +267,12 @@
   return failed;
 }
 
-bool Job::HasBegun() const {
-  if (begun_)
-    return true;
-  bool begun = false;
+bool Job::HasRecoveredRuns() const {
+  bool any = false;
   ForEachTask([&](const TaskId&, const TaskProgress& task) {
-    begun = begun || (task.run && task.run->phase == RunPhase::kRecovered);
+    any = any || (task.run && task.run->phase == RunPhase::kRecovered);
   });
-  return begun;
+  return any;
 }
 
 bool Job::HasAnyRun() const {
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -169,10 +169,11 @@
   // Complete, failed or cancelled: no task may start.
   bool IsFinal() const;
   JobPhase phase() const;
-  // Whether any task was ever started. A run of a former leader counts as
-  // started until its worker tells.
-  bool HasBegun() const;
+  // Whether a worker has told that it started any task.
+  bool has_begun() const { return begun_; }
   void set_begun() { begun_ = true; }
+  // Whether it has runs of a former leader of which no worker has told yet.
+  bool HasRecoveredRuns() const;
   bool HasAnyRun() const;
 
   // The highest attempt of any task; above 1 when something was started again.
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -236,4 +236,18 @@
   CHECK(fixture.Pending(1).pending == kAll);
 }
 
+// Guards against recorded starts that count as begun before a worker has them.
+TEST_CASE("A start that reached no worker does not end a job's wait") {
+  LeaderFixture fixture;
+  fixture.AddNode("n2");
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).silent = true;
+  fixture.Submit(kJob, MakeJob(1, 1, false));
+  fixture.Run(Duration(300));
+  REQUIRE(fixture.workers.total_starts() == 0);
+  REQUIRE(fixture.Pending(1).pending == 1);
+  fixture.Kill(0);
+  CHECK(Watch(fixture, 1, Duration(4'000)).lowest == 1);
+}
+
 }  // namespace quetzalshelf::batch
