--- a/servers/batch/store_clock.cc
+++ b/servers/batch/store_clock.cc
@@ -9,10 +9,13 @@
 // Two steady clocks of the platform differ by up to 2% in their rate.
 constexpr int kRateErrorDivisor = 50;
 
+// Both clocks show whole milliseconds.
+constexpr Duration kTick{1};
+
 Duration Uncertainty(TimePoint from, TimePoint to) {
   const Duration passed = from < to ? to - from : from - to;
-  // Rounded up.
-  return passed / kRateErrorDivisor + Duration(passed.count() > 0 ? 1 : 0);
+  return passed == Duration(0) ? passed
+                               : passed / kRateErrorDivisor + 2 * kTick;
 }
 
 Duration OffsetOf(StoreTime shown, TimePoint time) {
