Never write a heartbeat that is too large for a row

Callers would see: no leader. With more waiting queues than a row of 65,536 bytes can name, the store refuses each heartbeat for its report, the other nodes take over one after the other, and each fails in the same way.

Change: a report that does not fit is left out of the heartbeat, with a warning when that begins and ends; counts are then answered with 503.

--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -17,7 +17,8 @@
 
 constexpr Duration kCommitTimeout{800};
 constexpr int64_t kMaxEpoch = std::numeric_limits<int64_t>::max();
-constexpr size_t kMaxReportBytes = 65'536;
+// The platform's limit of a row.
+constexpr size_t kMaxRowBytes = 65'536;
 // Pause after a failed heartbeat or a lost race.
 constexpr Duration kRetry{150};
 // Weight of the newest gap between heartbeats in their mean, as a divisor.
@@ -49,7 +50,7 @@
   Heartbeat heartbeat;
   heartbeat.released = reader.OptionalBool("released", false);
   if (value->is_object() && value->contains("report"))
-    heartbeat.report = reader.OptionalString("report", "", kMaxReportBytes);
+    heartbeat.report = reader.OptionalString("report", "", kMaxRowBytes);
   if (!findings.empty())
     return std::nullopt;
   return heartbeat;
@@ -333,12 +334,22 @@
   leading_ = false;
 }
 
-std::string LeaderLease::HeartbeatValue(bool released) const {
+std::string LeaderLease::HeartbeatValue(bool released) {
   json value = {{"node", options_.node.value()}};
   if (released)
     value["released"] = true;
   if (const auto report = report_source_ ? report_source_() : std::nullopt)
     value["report"] = *report;
+  std::string row = value.dump();
+  const bool too_large = row.size() > kMaxRowBytes;
+  if (std::exchange(report_too_large_, too_large) != too_large) {
+    LOG(WARNING) << "load report " << (too_large ? "exceeds" : "fits")
+                 << " the limit of a row: heartbeat_bytes=" << row.size()
+                 << " limit=" << kMaxRowBytes;
+  }
+  if (!too_large)
+    return row;
+  value.erase("report");
   return value.dump();
 }
 
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -123,7 +123,8 @@
   // which is gone since there is only one at a time.
   bool WasLedByThisNode() const;
   void OnHeartbeat(const absl::StatusOr<CommitOutcome>& result, TimePoint sent);
-  std::string HeartbeatValue(bool released) const;
+  // Without the report if that makes it too large for a row.
+  std::string HeartbeatValue(bool released);
 
   VersionedStore& store_;
   const Clock& clock_;
@@ -142,6 +143,7 @@
   Duration heartbeat_gap_{0};  // Mean time between heartbeats as seen here.
   bool released_ = false;
   std::string report_;
+  bool report_too_large_ = false;  // Of the last heartbeat of this node.
 
   bool leading_ = false;
   bool retired_ = false;  // Released leadership; never acquires it again.
--- a/standins/fleet/memory_versioned_store.cc
+++ b/standins/fleet/memory_versioned_store.cc
@@ -7,10 +7,17 @@
 
 namespace {
 
-// The platform's limit of one answer.
+// The platform's limits of one answer and of one row.
 constexpr size_t kMaxRowsRead = 500;
+constexpr size_t kMaxRowBytes = 65'536;
 constexpr Duration kClockOrigin{7'000'000};
 
+bool IsTooLarge(const StoreTransaction& transaction) {
+  return std::ranges::any_of(transaction.writes, [](const StoreWrite& it) {
+    return it.value.size() > kMaxRowBytes;
+  });
+}
+
 }  // namespace
 
 MemoryVersionedStore::MemoryVersionedStore(TaskRunner& runner,
@@ -33,6 +40,12 @@
     });
     return;
   }
+  if (IsTooLarge(transaction)) {
+    runner_.PostAfter(answer_time_, [done = std::move(done)] {
+      done(absl::UnknownError("a row is too large"));
+    });
+    return;
+  }
   if (faults_.late_commits > 0) {
     --faults_.late_commits;
     runner_.PostAfter(timeout, [done = std::move(done)] {
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -236,6 +236,32 @@
   CHECK(fixture.Pending(1).pending == kAll);
 }
 
+// Guards against heartbeats that the store refuses for their size, so that one
+// node after the other takes over and loses the leadership again.
+TEST_CASE("More queues than a row can name do not end the leadership") {
+  constexpr int kQueues = 900;
+  WaitingJobs fixture;
+  SiteConfig config = MakeSite();
+  config.version = 2;
+  for (int n = 0; n < kQueues; ++n) {
+    QueueConfig queue = config.queues[1];
+    queue.name = QueueName(std::string(60, 'q') + std::to_string(n));
+    queue.prefix = "/many" + std::to_string(n) + "/";
+    config.queues.push_back(queue);
+  }
+  fixture.site.SetConfig(config);
+  for (int n = 0; n < kQueues; ++n)
+    fixture.Submit("0000000000001" + std::to_string(100 + n),
+                   MakeJob(1, 1, false), "/many" + std::to_string(n) + "/");
+  const Epoch epoch = fixture.nodes[0].leadership->epoch();
+  fixture.Run(Duration(5'000));
+  CHECK(fixture.Leader() == 0);
+  CHECK(fixture.nodes[0].leadership->epoch() == epoch);
+  const CallAnswer answer = fixture.Pending(2);
+  CHECK(answer.outcome == CallOutcome::kNotReady);
+  CHECK(answer.retry_after > Duration(0));
+}
+
 // Guards against recorded starts that count as begun before a worker has them.
 TEST_CASE("A start that reached no worker does not end a job's wait") {
   LeaderFixture fixture;
