Do not count a start as begun that was refused as an old one

Callers saw: two nodes told 0 waiting jobs for 2.5 s while a job had waited for 5 s. Each new leader sent the start again, the worker refused it as old (a stop had come before it), and the leader took that for a run that had ended.

Change: a job has begun when a worker confirms a start, lists a run or lists an end. A refusal as old only asks for the next sync at once.

Test: "A start that a stop has overtaken does not end a job's wait" told 0 instead of 1 before.

--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -190,10 +190,13 @@
   switch (reply->result) {
     case OrderResult::kDone:
     case OrderResult::kSuperseded:
-      // A superseded run may have ended; the next sync reports it.
+      // A superseded run may have ended, or been stopped before its start came;
+      // the next sync tells.
       MarkRunning(job, id, *run, now);
       if (reply->result == OrderResult::kSuperseded)
         worker.sync_soon = true;
+      else
+        job.set_begun();
       due_workers_.insert(worker_id);
       starts_.Add();
       start_delay_.Record(
@@ -231,7 +234,6 @@
                              const TaskId& id,
                              Run& run,
                              TimePoint now) {
-  job.set_begun();
   run.phase = RunPhase::kRunning;
   run.phase_since = now;
   run.confirmed_event = ++last_event_;
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -322,6 +322,7 @@
       continue;
     }
     Job& job = *FindJob(it.task.job);
+    job.set_begun();
     if (run->phase == RunPhase::kStarting)
       MarkRunning(job, it.task, *run, now);
     if (run->phase == RunPhase::kRecovered) {
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -181,6 +181,27 @@
   CHECK(fixture.Pending(0).pending == 0);
 }
 
+// Guards against a job that counts as begun since its worker refused the start
+// as an old one: a stop may have come before it.
+TEST_CASE("A start that a stop has overtaken does not end a job's wait") {
+  LeaderFixture fixture(1, 1);
+  const WorkerEntry& worker = fixture.listed.front();
+  fixture.workers.faults(worker.id).silent = true;
+  fixture.Submit(kJob, MakeJob(1, 1, false));
+  fixture.Run(Duration(300));
+  fixture.workers.faults(worker.id).silent = false;
+  fixture.workers.faults(worker.id).refuses = true;
+  bool stopped = false;
+  fixture.workers.Stop(
+      worker, {Task(kJob, 0), Attempt(1), fixture.nodes[0].leadership->epoch()},
+      Duration(100),
+      [&](const absl::StatusOr<OrderReply>& it) { stopped = it.ok(); });
+  fixture.Run(Duration(4'000));
+  REQUIRE(stopped);
+  REQUIRE(fixture.workers.total_starts() == 0);
+  CHECK(fixture.Pending(0).pending == 1);
+}
+
 // Guards against jobs that count as waiting again after a change of leader.
 TEST_CASE("A job that has begun does not count as waiting for a new leader") {
   LeaderFixture fixture;
