Start child processes without the descriptors of their parent

Cause: the nodes that the soak starts inherited its descriptors. A running node held 2,707 of them, 528 being connections of the proxy to the store that the proxy had closed. Peers saw neither the close nor the reset until the idle limit of 120 s, so that faults of links were kinder than they say.

Change: child processes get the standard descriptors only.

Test: "A child process holds no descriptors of its parent" read EAGAIN instead of the end of the pipe before; passes now.

--- a/bench/processes/child_process.cc
+++ b/bench/processes/child_process.cc
@@ -41,6 +41,12 @@
   return argv;
 }
 
+// A connection stays open while any process holds it, so that peers of the
+// parent would not see it closed or reset.
+void CloseOthers(posix_spawn_file_actions_t& actions) {
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+}
+
 }  // namespace
 
 absl::StatusOr<ChildProcess> ChildProcess::Start(
@@ -54,6 +60,7 @@
   posix_spawn_file_actions_adddup2(&actions, out[1], STDOUT_FILENO);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  CloseOthers(actions);
   ChildProcess child;
   const int error = posix_spawn(&child.pid_, command[0].c_str(), &actions,
                                 nullptr, ToArgv(command).data(), environ);
@@ -80,6 +87,7 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  CloseOthers(actions);
   ChildProcess child;
   const int error = posix_spawn(&child.pid_, command[0].c_str(), &actions,
                                 nullptr, ToArgv(command).data(), environ);
