Refuse a count of waiting jobs before its caller leaves

Callers would see: a time-out instead of a 503 with a time to come back.

Change: a read is repeated only if the caller waits for its answer.

--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -460,7 +460,7 @@
     done(route.refusal);
     return;
   }
-  TellCount(route.queue->name, caller.deadline - kAnswerMargin, 0, done);
+  TellCount(route.queue->name, caller.deadline, 0, done);
 }
 
 void JobFrontend::TellCount(const QueueName& queue,
@@ -477,12 +477,8 @@
     done(answer);
     return;
   }
-  if (reads == kMaxReportReads || now >= deadline) {
-    const std::optional<Duration> age = load_.Age(now);
-    LOG(WARNING) << "waiting jobs of queue " << queue
-                 << " are not known: age_ms=" << (age ? age->count() : -1)
-                 << " reads=" << reads;
-    done(NotReady("no recent report of a leader says how many jobs wait"));
+  if (now + kAnswerMargin >= deadline) {
+    RefuseCount(queue, reads, done);
     return;
   }
   ReadRow(HeartbeatRowKey(), deadline,
@@ -512,13 +508,29 @@
     LOG(WARNING) << "heartbeat cannot be read: " << findings.ToString();
   else if (heartbeat->report)
     load_.Update(*heartbeat->report, clock_.Now());
-  if (load_.Find(queue, clock_.Now())) {
+  const TimePoint now = clock_.Now();
+  if (load_.Find(queue, now)) {
     TellCount(queue, deadline, reads, done);
     return;
   }
+  if (reads == kMaxReportReads ||
+      now + kReportRetry + kAnswerMargin >= deadline) {
+    RefuseCount(queue, reads, done);
+    return;
+  }
   runner_.PostAfter(kReportRetry, [this, queue, deadline, reads, done] {
     TellCount(queue, deadline, reads, done);
   });
 }
 
+void JobFrontend::RefuseCount(const QueueName& queue,
+                              int reads,
+                              const Callback& done) const {
+  const std::optional<Duration> age = load_.Age(clock_.Now());
+  LOG(WARNING) << "waiting jobs of queue " << queue
+               << " are not known: age_ms=" << (age ? age->count() : -1)
+               << " reads=" << reads;
+  done(NotReady("no recent report of a leader says how many jobs wait"));
+}
+
 }  // namespace quetzalshelf::batch
--- a/servers/batch/job_frontend.h
+++ b/servers/batch/job_frontend.h
@@ -130,6 +130,9 @@
                 int reads,
                 const Callback& done,
                 const absl::StatusOr<StoreSnapshot>& result);
+  void RefuseCount(const QueueName& queue,
+                   int reads,
+                   const Callback& done) const;
   void ReadRow(const StoreKey& id,
                TimePoint deadline,
                VersionedStore::ReadCallback done);
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -126,6 +126,30 @@
   CHECK(answer.pending == kWaiting);
 }
 
+// Guards against an answer that comes when the caller has gone.
+TEST_CASE("A count that is not known is refused before the caller leaves") {
+  WaitingJobs fixture;
+  fixture.nodes[1].paused = true;
+  fixture.nodes[2].paused = true;
+  fixture.Kill(0);
+  fixture.Run(Duration(2'500));
+  for (Duration patience{160}; patience < Duration(1'500);
+       patience += Duration(35)) {
+    CAPTURE(patience.count());
+    const TimePoint deadline = fixture.runner.Now() + patience;
+    std::optional<TimePoint> answered_at;
+    fixture.nodes[2].frontend->Pending(
+        {"desk.example", "/plans/", "key-plaza", deadline},
+        [&](const CallAnswer& it) {
+          CHECK(it.outcome == CallOutcome::kNotReady);
+          answered_at = fixture.runner.Now();
+        });
+    fixture.Run(Duration(1'500));
+    REQUIRE(answered_at);
+    CHECK(deadline - *answered_at >= Duration(150));
+  }
+}
+
 // Guards against a report that leaves out the jobs of the last seconds.
 TEST_CASE("A leader that cannot read new jobs does not report how many wait") {
   WaitingJobs fixture;
