Keep the last load report in the row over a change of leader

Callers would see: 503 for a count while the leader changes, from nodes that have not seen the former leader's report. A take-over replaced the row of the heartbeats without a report, and no new one came until the jobs were read.

Change: a leader without a report of its own sends the last one that it read.

--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -338,8 +338,10 @@
   json value = {{"node", options_.node.value()}};
   if (released)
     value["released"] = true;
-  if (const auto report = report_source_ ? report_source_() : std::nullopt)
-    value["report"] = *report;
+  // A report tells how old it is, so that a former one does no harm.
+  const auto report = report_source_ ? report_source_() : std::nullopt;
+  if (const std::string& text = report ? *report : report_; !text.empty())
+    value["report"] = text;
   std::string row = value.dump();
   const bool too_large = row.size() > kMaxRowBytes;
   if (std::exchange(report_too_large_, too_large) != too_large) {
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -68,8 +68,8 @@
 class LeaderLease {
  public:
   // Returns the load report that is sent to all nodes with each heartbeat;
-  // nullopt while the leader has not read the jobs. The other nodes keep the
-  // report of its predecessor meanwhile.
+  // nullopt while the leader has not read the jobs. The last report that was
+  // read is sent meanwhile.
   using ReportSource = std::function<std::optional<std::string>()>;
 
   LeaderLease(VersionedStore& store,
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -126,6 +126,22 @@
   CHECK(answer.pending == kWaiting);
 }
 
+// Guards against nodes that cannot tell a count while the leader changes since
+// the row of the heartbeats has lost the report.
+TEST_CASE("A take-over keeps the last report in the row") {
+  WaitingJobs fixture;
+  fixture.store.set_answer_time(Duration(80));
+  fixture.Kill(0);
+  for (Duration passed{0}; passed < Duration(4'000); passed += kStep) {
+    fixture.Run(kStep);
+    Findings findings;
+    const auto heartbeat =
+        DecodeHeartbeat(*fixture.store.Find(HeartbeatRowKey()), findings);
+    REQUIRE(heartbeat);
+    CHECK(heartbeat->report);
+  }
+}
+
 // Guards against an answer that comes when the caller has gone.
 TEST_CASE("A count that is not known is refused before the caller leaves") {
   WaitingJobs fixture;
