Bound the time in a load report and look at the clock first

An age computed from a time near the end of the range would overflow; only another writer could send one. Runs of waiting jobs are looked through only within the second in which the answer matters.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -22,8 +22,9 @@
 // the jobs are no older than this: an older view may miss a worker or a domain
 // that is leaving.
 constexpr Duration kMaxViewAge{1'800};
-// Workers tell of the runs of a former leader within some 0.3 s of a change of
-// leader. Half of the time for which the former leader's report is told.
+// Workers that answer tell of the runs of a former leader within some 0.3 s of
+// a change of leader. Half of the time for which the former leader's report is
+// told.
 constexpr Duration kRecoveredRunGrace{1'000};
 // Twice the time for which callers may query a finished job.
 constexpr Duration kFinishedJobRetention{240'000};
@@ -424,8 +425,8 @@
     const Job& job = *jobs_.at(id);
     if (job.has_begun() || job.IsFinal())
       continue;
-    // A former leader may have recorded the start and not ordered it.
-    if (job.HasRecoveredRuns() && now - job.loaded_at < kRecoveredRunGrace)
+    // The order of a recorded start may not have reached its worker.
+    if (now - job.loaded_at < kRecoveredRunGrace && job.HasRecoveredRuns())
       return std::nullopt;
     ++report.queues[job.record().queue].pending;
   }
--- a/servers/batch/load_report.cc
+++ b/servers/batch/load_report.cc
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr int64_t kMaxCount = std::numeric_limits<int32_t>::max();
-constexpr int64_t kMaxMillis = std::numeric_limits<int64_t>::max();
+// Far from the ends of the range, so that ages can be computed.
+constexpr int64_t kMaxMillis = std::numeric_limits<int64_t>::max() / 4;
 // Callers are promised counts that are no older than this.
 constexpr Duration kMaxReportAge{2'000};
 
