Log why a follower of a table is not current and tasks cannot start

Change: followers log each whole read with its pages, rows, bytes, readings and failures, their first failure, and at growing intervals why their rows are not current. A leader logs when tasks can start, or what they lack, and /status shows the same. No decision depends on the new fields.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -251,7 +251,7 @@
   const TimePoint now = clock_.Now();
   const batch::SiteConfig* const config = site_.config();
   const std::optional<Duration> load_age = load_.Age(now);
-  const nlohmann::json status = {
+  nlohmann::json status = {
       {"node", settings_.node.value()},
       {"failure_domain", settings_.domain.value()},
       {"stopping", static_cast<bool>(stopped_)},
@@ -262,6 +262,15 @@
       {"load", nlohmann::json::parse(lease_.report(), nullptr, false)},
       {"load_age_ms", load_age ? load_age->count() : -1},
       {"requests_in_flight", caller_server_.requests_in_flight()}};
+  if (const batch::Dispatcher* const it = leadership_.dispatcher()) {
+    const batch::DispatcherStatus view = it->Status(now);
+    status["leader"] = {{"states_read", view.states_read},
+                        {"jobs_read", view.jobs_read},
+                        {"workers_read", view.workers_read},
+                        {"may_start", view.may_start},
+                        {"jobs_age_ms", view.jobs_age.count()},
+                        {"workers_age_ms", view.workers_age.count()}};
+  }
   HttpResponse response;
   response.body = status.dump();
   reply(response);
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -35,6 +35,9 @@
 constexpr Duration kMinPassSpacing{10};
 constexpr Duration kMaxPassSpacing{40};
 constexpr int64_t kWorkersPerPassMs = 10;
+// Starts that are impossible for this long are logged; later lines come after
+// twice the time.
+constexpr Duration kBlockedWarning{1'000};
 // Limits the computed age of a job after a jump of the wall clock.
 constexpr Duration kMaxJobAge{600'000};
 
@@ -68,6 +71,9 @@
           [this] { Depose("the epoch row has changed"); },
           std::move(heartbeat),
           seed),
+      began_(clock.Now()),
+      blocked_since_(began_),
+      blocked_warning_(kBlockedWarning),
       starts_(metrics.GetCounter("quetzalshelf_task_starts_total")),
       ends_(metrics.GetCounter("quetzalshelf_task_ends_total")),
       failures_(metrics.GetCounter("quetzalshelf_task_failures_total")),
@@ -104,6 +110,7 @@
   else
     states_->Tick(now);
   job_rows_->Tick(now);
+  LogStartability(now);
   // Until the jobs are loaded, the runs and ends of workers cannot be matched
   // to jobs and would be taken for unassigned ones.
   if (!HasLoadedJobs())
@@ -160,6 +167,42 @@
          now - job_rows_->confirmed_at() <= kMaxViewAge;
 }
 
+DispatcherStatus Dispatcher::Status(TimePoint now) const {
+  return {.states_read = states_read_,
+          .jobs_read = job_rows_->ready(),
+          .workers_read = workers_read_,
+          .may_start = MayStart(now),
+          .jobs_age = now - std::max(job_rows_->confirmed_at(), began_),
+          .workers_age = now - std::max(workers_confirmed_at_, began_),
+          .config_age = now - site_.confirmed_at()};
+}
+
+void Dispatcher::LogStartability(TimePoint now) {
+  const DispatcherStatus status = Status(now);
+  if (std::exchange(blocked_, !status.may_start) != blocked_) {
+    if (status.may_start) {
+      LOG(INFO) << "tasks can start: epoch=" << fencing_token_.epoch
+                << " after_ms=" << (now - blocked_since_).count()
+                << " jobs=" << jobs_.size()
+                << " workers=" << registry_.workers().size();
+    }
+    blocked_since_ = now;
+    blocked_warning_ = kBlockedWarning;
+  }
+  if (!blocked_ || now - blocked_since_ < blocked_warning_)
+    return;
+  blocked_warning_ *= 2;
+  LOG(WARNING) << "tasks cannot start: epoch=" << fencing_token_.epoch
+               << " for_ms=" << (now - blocked_since_).count()
+               << " states_read=" << status.states_read
+               << " jobs_read=" << status.jobs_read
+               << " workers_read=" << status.workers_read
+               << " jobs_age_ms=" << status.jobs_age.count()
+               << " workers_age_ms=" << status.workers_age.count()
+               << " config_age_ms=" << status.config_age.count()
+               << " retired=" << retired_;
+}
+
 Duration Dispatcher::MaxLease(TimePoint now) const {
   const TimePoint confirmed =
       std::max(leadership_confirmed_at_, writer_.confirmed_at());
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -41,6 +41,18 @@
   int max_polls = 3'000;
 };
 
+// What a leader knows of the site, for logs and the status page.
+struct DispatcherStatus {
+  bool states_read = false;
+  bool jobs_read = false;
+  bool workers_read = false;
+  bool may_start = false;
+  // Ages of the views; since the start of the dispatcher if nothing was read.
+  Duration jobs_age{0};
+  Duration workers_age{0};
+  Duration config_age{0};
+};
+
 class Dispatcher {
  public:
   // Called with the reason when another leader has taken over.
@@ -80,6 +92,8 @@
   // when none runs or the successor gives orders already.
   std::unique_ptr<LeaseHandover> HandOverLeases(TimePoint now) const;
 
+  DispatcherStatus Status(TimePoint now) const;
+
   // nullopt until the jobs have been read, and while new ones cannot be.
   std::optional<LoadReport> Report(TimePoint now) const;
   // All jobs that were accepted before this time are known.
@@ -106,6 +120,8 @@
   // Schedules and sends the orders, syncs and writes that are due.
   void Pump(TimePoint now);
   bool MayStart(TimePoint now) const;
+  // Logs when starts become possible, and what they lack meanwhile.
+  void LogStartability(TimePoint now);
   // Longest lease that may be granted now; negative when none may.
   Duration MaxLease(TimePoint now) const;
   Duration PassSpacing();
@@ -287,6 +303,10 @@
   bool pass_due_ = true;
   TimePoint last_pass_;
   TimePoint next_cleanup_;
+  const TimePoint began_;
+  TimePoint blocked_since_;  // Starts are impossible since then.
+  bool blocked_ = true;
+  Duration blocked_warning_;  // After so long a time the next one is due.
   TimePoint workers_confirmed_at_;
   TimePoint leadership_confirmed_at_;
 
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -1,6 +1,7 @@
 #include "servers/batch/table_follower.h"
 
 #include <algorithm>
+#include <ostream>
 #include <utility>
 
 #include "core/answer_time.h"
@@ -21,6 +22,10 @@
 // The first answer counts.
 constexpr Duration kRepeatAfter{250};
 constexpr size_t kMaxReads = 4;
+// A follower that has had no answer for this long, beyond the wait of a feed
+// and the time between two, logs why. Later warnings come after twice the time.
+constexpr Duration kLateAfter{1'000};
+
 // First key after `key` in byte order.
 std::string Successor(const std::string& key) {
   return key + '\0';
@@ -38,6 +43,32 @@
   size_t left = 0;  // Partitions that are not read to their end.
 };
 
+// What was received since the rows were confirmed last.
+struct ReadStatistics {
+  size_t pages = 0;
+  size_t rows = 0;
+  size_t bytes = 0;  // Of the values.
+  int readings = 0;  // Begun, including copies of one without an answer.
+  int failures = 0;
+  std::string error;  // The latest.
+
+  void AddPage(const std::vector<StoreRow>& page);
+};
+
+void ReadStatistics::AddPage(const std::vector<StoreRow>& page) {
+  ++pages;
+  rows += page.size();
+  for (const StoreRow& it : page)
+    bytes += it.value.size();
+}
+
+std::ostream& operator<<(std::ostream& out, const ReadStatistics& it) {
+  return out << "readings=" << it.readings << " pages=" << it.pages
+             << " rows=" << it.rows << " bytes=" << it.bytes
+             << " failures=" << it.failures
+             << " last_error=" << (it.error.empty() ? "none" : it.error);
+}
+
 }  // namespace
 
 struct TableFollower::State : std::enable_shared_from_this<State> {
@@ -58,6 +89,7 @@
   void Read(TimePoint now) {
     auto reading = std::make_shared<Reading>();
     reading->sent = now;
+    ++statistics.readings;
     reading->left = options.partitions.size();
     readings.push_back(reading);
     for (const std::string& it : options.partitions)
@@ -92,6 +124,7 @@
       Fail(result.status());
       return;
     }
+    statistics.AddPage(result->rows);
     std::vector<StoreRow>& rows = reading->rows;
     rows.insert(rows.end(), result->rows.begin(), result->rows.end());
     // The feed goes on from the oldest of the versions that were read.
@@ -112,6 +145,8 @@
     readings.clear();
     answer_time.Observe(clock.Now() - done->sent);
     version = done->version;
+    LOG(INFO) << "table " << options.table << " was read: after_ms="
+              << (clock.Now() - followed_since).count() << " " << statistics;
     Succeed(done->sent);
     following = true;
     ready = true;
@@ -147,10 +182,12 @@
       const bool silent = absl::IsDeadlineExceeded(result.status());
       if (silent || absl::IsOutOfRange(result.status()))
         following = false;
-      if (silent)
+      if (silent) {
+        RecordFailure(result.status());
         Read(clock.Now());
-      else
+      } else {
         Fail(result.status());
+      }
       return;
     }
     if (result->rows.empty())
@@ -166,18 +203,29 @@
     confirmed_at = sent;
     answered_at = clock.Now();
     retry.Reset();
-    if (failing || interrupted)
+    if (!answering || interrupted)
       answering_since = sent;
+    answering = true;
     interrupted = false;
+    statistics = {};
+    followed_since = answered_at;
+    warn_after = kLateAfter;
     if (failing) {
       failing = false;
       LOG(INFO) << "table " << options.table << ": store answers again";
     }
   }
 
+  void RecordFailure(const absl::Status& status) {
+    ++statistics.failures;
+    statistics.error = std::string(status.message());
+  }
+
   void Fail(const absl::Status& status) {
     const Duration delay = retry.Next();
     retry_at = clock.Now() + delay;
+    answering = false;
+    RecordFailure(status);
     if (!failing) {
       failing = true;
       LOG(WARNING) << "table " << options.table
@@ -185,6 +233,19 @@
     }
   }
 
+  // Tells why the rows are not current, at growing intervals.
+  void WarnIfLate(TimePoint now) {
+    if (followed_since == TimePoint())
+      followed_since = now;
+    if (now - followed_since < options.spacing + options.poll + warn_after)
+      return;
+    warn_after *= 2;
+    LOG(WARNING) << "table " << options.table
+                 << " is not current: for_ms=" << (now - followed_since).count()
+                 << " ready=" << ready << " feeding=" << feeding
+                 << " reads=" << readings.size() << " " << statistics;
+  }
+
   VersionedStore& store;
   const Clock& clock;
   TableFollowerOptions options;
@@ -202,9 +263,13 @@
   bool feeding = false;
   bool following = false;
   bool ready = false;
-  bool failing = true;
+  bool answering = false;
+  bool failing = false;
   bool interrupted = false;  // A call was without an answer for long.
   bool stopped = false;
+  ReadStatistics statistics;
+  TimePoint followed_since;  // The last success, or the first tick.
+  Duration warn_after = kLateAfter;
 };
 
 TableFollower::TableFollower(VersionedStore& store,
@@ -225,6 +290,7 @@
 }
 
 void TableFollower::Tick(TimePoint now) {
+  state_->WarnIfLate(now);
   if (!state_->readings.empty()) {
     state_->RepeatOverdueRead(now);
     return;
