Give the store stand-ins the limits of a page and of a node's link

Cause: the stand-ins were kinder than the platform's pages. Change: MemoryVersionedStore keeps read time-outs, answers at most 1 MB, and takes the limit of a read, as do the store server and the platform's store. NarrowStore shares the bandwidth of a node's link among its answers; nodes of the batch fixture can have one.

--- a/core/platform/versioned_store.h
+++ b/core/platform/versioned_store.h
@@ -86,6 +86,7 @@
   std::string partition;
   std::string from;  // Empty: from the first key.
   std::string to;    // Exclusive; empty: to the last key.
+  size_t limit = 0;  // Rows of one answer; 0: as many as the store gives.
 };
 
 // Calls return at once; callbacks run later on the caller's thread.
--- a/standins/fleet/fleet_servers.cc
+++ b/standins/fleet/fleet_servers.cc
@@ -227,7 +227,8 @@
 void StoreServer::Read(const HttpRequest& request,
                        const EventHttpServer::Reply& reply) {
   store_.Read({request.Query("table"), request.Query("part"),
-               request.Query("from"), request.Query("to")},
+               request.Query("from"), request.Query("to"),
+               static_cast<size_t>(NumberOf(request.Query("limit")))},
               kPatience, RespondWithRows(reply, clock_));
 }
 
--- a/standins/fleet/memory_versioned_store.cc
+++ b/standins/fleet/memory_versioned_store.cc
@@ -9,6 +9,7 @@
 
 // The platform's limits of one answer and of one row.
 constexpr size_t kMaxRowsRead = 500;
+constexpr size_t kMaxBytesRead = 1'000'000;
 constexpr size_t kMaxRowBytes = 65'536;
 constexpr Duration kClockOrigin{7'000'000};
 
@@ -133,21 +134,31 @@
 void MemoryVersionedStore::Read(const ReadRange& range,
                                 Duration timeout,
                                 ReadCallback done) {
-  static_cast<void>(timeout);
   ++reads_;
+  if (answer_time_ > timeout) {
+    runner_.PostAfter(timeout, [done = std::move(done)] {
+      done(absl::DeadlineExceededError("no answer"));
+    });
+    return;
+  }
   if (faults_.refuse) {
     runner_.PostAfter(answer_time_, [done = std::move(done)] {
       done(absl::UnavailableError("refused"));
     });
     return;
   }
+  const size_t most =
+      range.limit == 0 ? kMaxRowsRead : std::min(range.limit, kMaxRowsRead);
+  size_t bytes = 0;
   StoreSnapshot snapshot;
   snapshot.version = version_;
   for (const auto& [id, row] : rows_) {
     if (id.table != range.table || id.partition != range.partition ||
         id.key < range.from || (!range.to.empty() && id.key >= range.to))
       continue;
-    if (snapshot.rows.size() == kMaxRowsRead) {
+    bytes += row.value.size();
+    if (snapshot.rows.size() == most ||
+        (bytes > kMaxBytesRead && !snapshot.rows.empty())) {
       snapshot.complete = false;
       break;
     }
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -88,7 +88,13 @@
   options.incarnation = IncarnationId(name + "-" + std::to_string(++seed_));
   Node node;
   node.store = std::make_unique<SeverableStore>(store, runner);
-  node.observed = std::make_unique<ObservedStore>(*node.store, runner);
+  VersionedStore* path = node.store.get();
+  if (link_bytes_per_second > 0) {
+    node.link = std::make_unique<NarrowStore>(*path, runner, runner,
+                                              link_bytes_per_second);
+    path = node.link.get();
+  }
+  node.observed = std::make_unique<ObservedStore>(*path, runner);
   node.load = std::make_unique<LoadView>(node.observed->store_clock());
   node.frontend = std::make_unique<JobFrontend>(
       *node.observed, runner, runner, site, *node.load, JobFrontendOptions());
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -16,6 +16,7 @@
 #include "servers/batch/observed_store.h"
 #include "standins/fleet/memory_versioned_store.h"
 #include "standins/fleet/model_workers.h"
+#include "standins/fleet/narrow_store.h"
 #include "standins/fleet/severable_store.h"
 #include "standins/fleet/severable_workers.h"
 
@@ -33,6 +34,7 @@
 
   struct Node {
     std::unique_ptr<SeverableStore> store;
+    std::unique_ptr<NarrowStore> link;  // Null: without a limit.
     std::unique_ptr<ObservedStore> observed;
     std::unique_ptr<SeverableWorkers> workers;
     std::unique_ptr<LoadView> load;
@@ -79,6 +81,8 @@
   JobFrontend frontend;
   std::vector<Node> nodes;
   Duration run_time{2'500};
+  // Of nodes added from now on, from the store; 0: no limit.
+  int64_t link_bytes_per_second = 0;
   DispatcherOptions dispatcher_options;  // Of nodes added from now on.
 
  private:
