Read tables in pages that fit the link, and go on from the last page

Cause: a new leader asked for eight whole partitions of jobs at once, under a time-out of 1 s an answer. One answer that came too late dropped all that had arrived, and up to four copies of the whole reading shared the link, so that on 10 Mbit/s no page of some megabytes ever arrived; the small heartbeats did, so that nobody else took over. A recovery whose work grows with the state, under fixed time-outs, restarted from nothing. Change: TableReading asks for pages whose size follows the time that they take, keeps each page, repeats only what has failed, and while nothing answers sends copies of one page alone. The feed then goes on from the oldest version read; changes that were read already are dropped.

--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -1,74 +1,26 @@
 #include "servers/batch/table_follower.h"
 
 #include <algorithm>
-#include <ostream>
+#include <map>
 #include <utility>
 
 #include "core/answer_time.h"
 #include "core/logging.h"
+#include "servers/batch/table_reading.h"
 
 namespace quetzalshelf::batch {
 
 namespace {
 
-constexpr Duration kReadTimeout{1'000};
 // Bounds of the time allowed for an answer beyond the wait of a feed call, for
 // a healthy and for an overloaded store.
 constexpr Duration kMinFeedSlack{120};
 constexpr Duration kMaxFeedSlack{700};
 constexpr Duration kFirstRetry{50};
-// A second read is sent while the first has had no answer for this long, so
-// that the end of a silent outage is noticed before the first read times out.
-// The first answer counts.
-constexpr Duration kRepeatAfter{250};
-constexpr size_t kMaxReads = 4;
 // A follower that has had no answer for this long, beyond the wait of a feed
 // and the time between two, logs why. Later warnings come after twice the time.
 constexpr Duration kLateAfter{1'000};
 
-// First key after `key` in byte order.
-std::string Successor(const std::string& key) {
-  return key + '\0';
-}
-
-}  // namespace
-
-namespace {
-
-// A read of all partitions.
-struct Reading {
-  TimePoint sent;
-  std::vector<StoreRow> rows;
-  RowVersion version;
-  size_t left = 0;  // Partitions that are not read to their end.
-};
-
-// What was received since the rows were confirmed last.
-struct ReadStatistics {
-  size_t pages = 0;
-  size_t rows = 0;
-  size_t bytes = 0;  // Of the values.
-  int readings = 0;  // Begun, including copies of one without an answer.
-  int failures = 0;
-  std::string error;  // The latest.
-
-  void AddPage(const std::vector<StoreRow>& page);
-};
-
-void ReadStatistics::AddPage(const std::vector<StoreRow>& page) {
-  ++pages;
-  rows += page.size();
-  for (const StoreRow& it : page)
-    bytes += it.value.size();
-}
-
-std::ostream& operator<<(std::ostream& out, const ReadStatistics& it) {
-  return out << "readings=" << it.readings << " pages=" << it.pages
-             << " rows=" << it.rows << " bytes=" << it.bytes
-             << " failures=" << it.failures
-             << " last_error=" << (it.error.empty() ? "none" : it.error);
-}
-
 }  // namespace
 
 struct TableFollower::State : std::enable_shared_from_this<State> {
@@ -77,83 +29,66 @@
         TableFollowerOptions o,
         SnapshotHandler snapshot,
         ChangeHandler change,
-        uint64_t seed)
+        uint64_t first_seed)
       : store(s),
         clock(c),
         options(std::move(o)),
         on_snapshot(std::move(snapshot)),
         on_change(std::move(change)),
-        retry({kFirstRetry, options.longest_retry}, seed) {}
+        retry({kFirstRetry, options.longest_retry}, first_seed),
+        seed(first_seed) {}
 
-  // All partitions are read at the same time.
   void Read(TimePoint now) {
-    auto reading = std::make_shared<Reading>();
-    reading->sent = now;
-    ++statistics.readings;
-    reading->left = options.partitions.size();
-    readings.push_back(reading);
-    for (const std::string& it : options.partitions)
-      ReadPage({options.table, it, "", ""}, reading);
+    following = false;
+    ++readings;
+    reading = std::make_unique<TableReading>(
+        store, clock,
+        TableReadingOptions{.table = options.table,
+                            .partitions = options.partitions,
+                            .longest_retry = options.longest_retry},
+        [this](TableContent content) { FinishRead(std::move(content)); },
+        [this](const absl::Status& status) { RecordFailure(status); }, ++seed);
+    reading->Tick(now);
   }
 
-  void RepeatOverdueRead(TimePoint now) {
-    if (readings.size() >= kMaxReads ||
-        now < readings.back()->sent + kRepeatAfter)
-      return;
-    interrupted = true;
-    Read(now);
-  }
-
-  void ReadPage(const ReadRange& range, const std::shared_ptr<Reading>& of) {
-    store.Read(range, kReadTimeout,
-               [weak = weak_from_this(), range,
-                of](const absl::StatusOr<StoreSnapshot>& result) {
-                 const auto self = weak.lock();
-                 if (self && !self->stopped)
-                   self->OnPage(range, of, result);
-               });
+  void FinishRead(TableContent content) {
+    const TimePoint now = clock.Now();
+    interrupted = interrupted || reading->was_interrupted();
+    LOG(INFO) << "table " << options.table
+              << " was read: after_ms=" << (now - followed_since).count()
+              << " readings=" << readings << " rows=" << content.rows.size()
+              << " " << ToString(reading->statistics());
+    reading.reset();
+    answer_time.Observe(content.answer_time);
+    version = content.version;
+    RememberVersions(content);
+    Succeed(content.current_at);
+    following = true;
+    ready = true;
+    // The next call goes out first: handlers may call Tick().
+    call_sent = content.current_at;
+    Continue(now);
+    on_snapshot(content.rows);
   }
 
-  void OnPage(ReadRange range,
-              const std::shared_ptr<Reading>& reading,
-              const absl::StatusOr<StoreSnapshot>& result) {
-    if (std::ranges::find(readings, reading) == readings.end())
+  // The feed goes on from the oldest version that was read, so it repeats
+  // changes of rows that were read later.
+  void RememberVersions(const TableContent& content) {
+    read_versions.clear();
+    last_read_version = content.last_version;
+    if (content.version == content.last_version)
       return;
-    if (!result.ok()) {
-      std::erase(readings, reading);
-      Fail(result.status());
-      return;
-    }
-    statistics.AddPage(result->rows);
-    std::vector<StoreRow>& rows = reading->rows;
-    rows.insert(rows.end(), result->rows.begin(), result->rows.end());
-    // The feed goes on from the oldest of the versions that were read.
-    const bool first_page = range.from.empty();
-    if (first_page && (reading->version == RowVersion(0) ||
-                       result->version < reading->version))
-      reading->version = result->version;
-    if (!result->complete && !result->rows.empty()) {
-      range.from = Successor(result->rows.back().id.key);
-      ReadPage(range, reading);
-      return;
-    }
-    if (--reading->left == 0)
-      FinishRead(reading);
+    for (const StoreRow& it : content.rows)
+      read_versions[it.id] = it.version;
   }
 
-  void FinishRead(const std::shared_ptr<Reading>& done) {
-    readings.clear();
-    answer_time.Observe(clock.Now() - done->sent);
-    version = done->version;
-    LOG(INFO) << "table " << options.table << " was read: after_ms="
-              << (clock.Now() - followed_since).count() << " " << statistics;
-    Succeed(done->sent);
-    following = true;
-    ready = true;
-    // The next call goes out first: handlers may call Tick().
-    call_sent = done->sent;
-    Continue(clock.Now());
-    on_snapshot(done->rows);
+  void DropKnownChanges(std::vector<StoreRow>& rows) {
+    std::erase_if(rows, [this](const StoreRow& row) {
+      const auto it = read_versions.find(row.id);
+      return it != read_versions.end() && row.version <= it->second;
+    });
+    if (version >= last_read_version)
+      read_versions.clear();
   }
 
   void Feed(TimePoint now) {
@@ -180,23 +115,26 @@
     feeding = false;
     if (!result.ok()) {
       const bool silent = absl::IsDeadlineExceeded(result.status());
-      if (silent || absl::IsOutOfRange(result.status()))
-        following = false;
       if (silent) {
-        RecordFailure(result.status());
+        CountFailure(result.status());
         Read(clock.Now());
-      } else {
-        Fail(result.status());
+        return;
       }
+      if (absl::IsOutOfRange(result.status()))
+        following = false;
+      RecordFailure(result.status());
+      retry_at = clock.Now() + retry.Next();
       return;
     }
     if (result->rows.empty())
       answer_time.Observe(clock.Now() - call_sent - options.poll);
     version = std::max(version, result->version);
+    std::vector<StoreRow> rows = result->rows;
+    DropKnownChanges(rows);
     Succeed(call_sent);
     Continue(clock.Now());
-    if (!result->rows.empty())
-      on_change(result->rows);
+    if (!rows.empty())
+      on_change(rows);
   }
 
   void Succeed(TimePoint sent) {
@@ -207,25 +145,24 @@
       answering_since = sent;
     answering = true;
     interrupted = false;
-    statistics = {};
     followed_since = answered_at;
     warn_after = kLateAfter;
+    readings = failures = 0;
+    last_error.clear();
     if (failing) {
       failing = false;
       LOG(INFO) << "table " << options.table << ": store answers again";
     }
   }
 
-  void RecordFailure(const absl::Status& status) {
-    ++statistics.failures;
-    statistics.error = std::string(status.message());
+  void CountFailure(const absl::Status& status) {
+    ++failures;
+    last_error = std::string(status.message());
   }
 
-  void Fail(const absl::Status& status) {
-    const Duration delay = retry.Next();
-    retry_at = clock.Now() + delay;
+  void RecordFailure(const absl::Status& status) {
+    CountFailure(status);
     answering = false;
-    RecordFailure(status);
     if (!failing) {
       failing = true;
       LOG(WARNING) << "table " << options.table
@@ -243,7 +180,11 @@
     LOG(WARNING) << "table " << options.table
                  << " is not current: for_ms=" << (now - followed_since).count()
                  << " ready=" << ready << " feeding=" << feeding
-                 << " reads=" << readings.size() << " " << statistics;
+                 << " readings=" << readings << " failures=" << failures
+                 << " last_error=" << (last_error.empty() ? "none" : last_error)
+                 << (reading ? " rows=" + std::to_string(reading->row_count()) +
+                                   " " + ToString(reading->statistics())
+                             : "");
   }
 
   VersionedStore& store;
@@ -252,8 +193,12 @@
   SnapshotHandler on_snapshot;
   ChangeHandler on_change;
   Backoff retry;
-  std::vector<std::shared_ptr<Reading>> readings;  // Under way, oldest first.
+  uint64_t seed;                          // Of the latest reading.
+  std::unique_ptr<TableReading> reading;  // Null while none is under way.
   RowVersion version;
+  // Of the rows read last, until the feed has come to `last_read_version`.
+  std::map<StoreKey, RowVersion> read_versions;
+  RowVersion last_read_version;
   AnswerTime answer_time;  // Without the wait of feeds.
   TimePoint call_sent;
   TimePoint confirmed_at;
@@ -267,9 +212,12 @@
   bool failing = false;
   bool interrupted = false;  // A call was without an answer for long.
   bool stopped = false;
-  ReadStatistics statistics;
   TimePoint followed_since;  // The last success, or the first tick.
   Duration warn_after = kLateAfter;
+  // Since the last success.
+  int readings = 0;
+  int failures = 0;
+  std::string last_error;
 };
 
 TableFollower::TableFollower(VersionedStore& store,
@@ -291,8 +239,8 @@
 
 void TableFollower::Tick(TimePoint now) {
   state_->WarnIfLate(now);
-  if (!state_->readings.empty()) {
-    state_->RepeatOverdueRead(now);
+  if (state_->reading) {
+    state_->reading->Tick(now);
     return;
   }
   if (state_->feeding || now < state_->retry_at)
