Go on with a feed from its position when an answer is late

Cause: the time-out of a feed call counted to the last byte of an answer whose size has no limit. The first feed after a long reading, or after a surge, brought more than arrives in its 120 ms, was dropped with its position, and the whole table was read again. Change: the time-out of a feed is for silence; HttpCall has a stall time-out and EventHttpClient keeps it. A silent feed is asked again from its version without a wait, and the table is read only if that is silent too.

--- a/core/platform/versioned_store.h
+++ b/core/platform/versioned_store.h
@@ -89,6 +89,10 @@
   size_t limit = 0;  // Rows of one answer; 0: as many as the store gives.
 };
 
+// Longest time from the first byte of a feed's answer to its last one. Below
+// the shortest history of the platform's stores.
+inline constexpr Duration kLongestFeedAnswer{4'000};
+
 // Calls return at once; callbacks run later on the caller's thread.
 // Errors: kUnavailable (refused: nothing was done), kUnknown and
 // kDeadlineExceeded (no answer: the change may take effect, also later),
@@ -107,7 +111,8 @@
                     Duration timeout,
                     ReadCallback done) = 0;
   // Waits up to `wait` for rows of `table` that changed after `after`.
-  // `timeout` includes the wait.
+  // `timeout` is the longest silence, and includes the wait: the answer has no
+  // limit of its own and may arrive slowly, within kLongestFeedAnswer.
   virtual void Feed(const std::string& table,
                     RowVersion after,
                     Duration wait,
--- a/drivers/http/event_http_client.cc
+++ b/drivers/http/event_http_client.cc
@@ -80,7 +80,7 @@
                 {client_->options_.max_header_bytes, call_.max_reply_bytes}) {}
 
   void Run(std::unique_ptr<tcp::socket> idle) {
-    Arm(call_.timeout, &Exchange::OnTimeout);
+    ArmForAnswer();
     if (idle) {
       socket_ = std::move(idle);
       Write();
@@ -106,6 +106,24 @@
         });
   }
 
+  // From now on the answer, or its next bytes if it has a stall time-out, must
+  // arrive in time.
+  void ArmForAnswer() {
+    answer_deadline_ = std::chrono::steady_clock::now() + call_.timeout;
+    ArmForBytes();
+  }
+
+  void ArmForBytes() {
+    if (call_.stall_timeout.count() == 0) {
+      Arm(call_.timeout, &Exchange::OnTimeout);
+      return;
+    }
+    const auto left = std::chrono::duration_cast<Duration>(
+        answer_deadline_ - std::chrono::steady_clock::now());
+    Arm(std::clamp(left, Duration(0), call_.stall_timeout),
+        &Exchange::OnTimeout);
+  }
+
   void OnConnectTimeout() {
     Fail(absl::UnavailableError("connecting timed out"));
   }
@@ -125,7 +143,7 @@
     }
     asio::error_code ignored;
     socket_->set_option(tcp::no_delay(true), ignored);
-    Arm(call_.timeout, &Exchange::OnTimeout);
+    ArmForAnswer();
     Write();
   }
 
@@ -165,10 +183,13 @@
       Finish(ec);
       return;
     }
-    if (ec)
+    if (ec) {
       FailExchange(ec);
-    else
-      Read();
+      return;
+    }
+    if (call_.stall_timeout.count() > 0)
+      ArmForBytes();
+    Read();
   }
 
   void Finish(const asio::error_code& ec) {
@@ -207,6 +228,7 @@
   std::string text_;
   Callback done_;
   asio::steady_timer timer_;
+  SteadyTime answer_deadline_;
   HttpStreamParser parser_;
   std::unique_ptr<tcp::socket> socket_;
   std::array<char, kReadBytes> buf_;
--- a/drivers/http/http_caller.h
+++ b/drivers/http/http_caller.h
@@ -32,6 +32,9 @@
   std::string content_type = "application/json";
   // From Call to the callback. Connecting may take three quarters of it.
   Duration timeout{2'000};
+  // Longest time without a byte of the answer, within `timeout`; 0: no limit of
+  // its own. Only EventHttpClient keeps it.
+  Duration stall_timeout{0};
   ConnectionUse connection = ConnectionUse::kPooled;
   size_t max_reply_bytes = size_t{16} << 20;
 };
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -16,6 +16,9 @@
 // a healthy and for an overloaded store.
 constexpr Duration kMinFeedSlack{120};
 constexpr Duration kMaxFeedSlack{700};
+// Silence of a feed without a wait after which the table is read instead. Long
+// enough for what else is on its way on a narrow link.
+constexpr Duration kCatchUpSilence{400};
 constexpr Duration kFirstRetry{50};
 // A follower that has had no answer for this long, beyond the wait of a feed
 // and the time between two, logs why. Later warnings come after twice the time.
@@ -92,15 +95,28 @@
   }
 
   void Feed(TimePoint now) {
+    const Duration slack = answer_time.Timeout(kMinFeedSlack, kMaxFeedSlack);
+    SendFeed(now, options.poll, options.poll + slack);
+  }
+
+  // Asks again from the same version. A connection that has gone silent is not
+  // used again, and the store may have much to send.
+  void CatchUp(TimePoint now) {
+    catching_up = true;
+    SendFeed(now, Duration(0), kCatchUpSilence);
+  }
+
+  void SendFeed(TimePoint now, Duration wait, Duration silence) {
     feeding = true;
     call_sent = now;
-    const Duration slack = answer_time.Timeout(kMinFeedSlack, kMaxFeedSlack);
-    store.Feed(
-        options.table, version, options.poll, options.poll + slack,
-        [weak = weak_from_this()](const absl::StatusOr<StoreSnapshot>& result) {
-          if (const auto self = weak.lock(); self && !self->stopped)
-            self->OnFeed(result);
-        });
+    feed_wait = wait;
+    store.Feed(options.table, version, wait, silence,
+               [weak = weak_from_this(), call = ++feed_call](
+                   const absl::StatusOr<StoreSnapshot>& result) {
+                 const auto self = weak.lock();
+                 if (self && !self->stopped && call == self->feed_call)
+                   self->OnFeed(result);
+               });
   }
 
   // With a minimum spacing, Tick() sends the next call once it is due.
@@ -113,21 +129,13 @@
 
   void OnFeed(const absl::StatusOr<StoreSnapshot>& result) {
     feeding = false;
+    const bool caught_up = std::exchange(catching_up, false);
     if (!result.ok()) {
-      const bool silent = absl::IsDeadlineExceeded(result.status());
-      if (silent) {
-        CountFailure(result.status());
-        Read(clock.Now());
-        return;
-      }
-      if (absl::IsOutOfRange(result.status()))
-        following = false;
-      RecordFailure(result.status());
-      retry_at = clock.Now() + retry.Next();
+      OnFeedFailure(result.status(), caught_up);
       return;
     }
     if (result->rows.empty())
-      answer_time.Observe(clock.Now() - call_sent - options.poll);
+      answer_time.Observe(clock.Now() - call_sent - feed_wait);
     version = std::max(version, result->version);
     std::vector<StoreRow> rows = result->rows;
     DropKnownChanges(rows);
@@ -137,6 +145,24 @@
       on_change(rows);
   }
 
+  void OnFeedFailure(const absl::Status& status, bool was_catching_up) {
+    const TimePoint now = clock.Now();
+    if (absl::IsDeadlineExceeded(status)) {
+      CountFailure(status);
+      if (was_catching_up) {
+        interrupted = true;
+        Read(now);
+      } else {
+        CatchUp(now);
+      }
+      return;
+    }
+    if (absl::IsOutOfRange(status))
+      following = false;
+    RecordFailure(status);
+    retry_at = now + retry.Next();
+  }
+
   void Succeed(TimePoint sent) {
     confirmed_at = sent;
     answered_at = clock.Now();
@@ -206,6 +232,9 @@
   TimePoint answering_since;
   TimePoint retry_at;
   bool feeding = false;
+  uint64_t feed_call = 0;  // The latest; answers to others are dropped.
+  Duration feed_wait{0};
+  bool catching_up = false;  // The latest feed asks again after a silent one.
   bool following = false;
   bool ready = false;
   bool answering = false;
--- a/servers/batch/table_follower.h
+++ b/servers/batch/table_follower.h
@@ -21,7 +21,8 @@
   // Partitions read for a snapshot; the feed covers the whole table.
   std::vector<std::string> partitions{""};
   // Longest wait of a feed call. A feed that is silent for longer than this and
-  // the store's usual answer time is not trusted: the table is read instead.
+  // the store's usual answer time is not trusted and asked again; the table is
+  // read if that is silent as well.
   Duration poll{800};
   // Least time between two feed calls, so that the changes of a busy table
   // are delivered together.
--- a/standins/fleet/narrow_store.cc
+++ b/standins/fleet/narrow_store.cc
@@ -112,7 +112,8 @@
                        Duration timeout,
                        ReadCallback done) {
   store_.Feed(table, after, wait, timeout,
-              Carry<StoreSnapshot>(clock_.Now() + timeout, std::move(done)));
+              Carry<StoreSnapshot>(clock_.Now() + timeout + kLongestFeedAnswer,
+                                   std::move(done)));
 }
 
 }  // namespace quetzalshelf
--- a/tests/batch/narrow_link_test.cc
+++ b/tests/batch/narrow_link_test.cc
@@ -2,7 +2,10 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "tests/batch/batch_fixture.h"
 
@@ -49,6 +52,53 @@
   }
 };
 
+// Follows one table of a store behind a narrow link.
+struct FollowerFixture {
+  FollowerFixture()
+      : store(runner, Duration(2)),
+        link(store, runner, runner, kNarrowLink),
+        follower(
+            link,
+            runner,
+            {.table = "jobs", .poll = Duration(200)},
+            [this](const std::vector<StoreRow>& rows) {
+              values.clear();
+              Apply(rows);
+            },
+            [this](const std::vector<StoreRow>& rows) { Apply(rows); },
+            1) {}
+
+  void Apply(const std::vector<StoreRow>& rows) {
+    for (const StoreRow& it : rows) {
+      is_ordered = is_ordered && versions[it.id.key] < it.version;
+      versions[it.id.key] = it.version;
+      if (it.deleted)
+        values.erase(it.id.key);
+      else
+        values[it.id.key] = it.value;
+    }
+  }
+
+  void Put(int row, const std::string& value) {
+    store.Put({"jobs", "", JobName(row)}, value);
+  }
+
+  void Run(Duration duration) {
+    for (Duration passed{0}; passed < duration; passed += Duration(10)) {
+      follower.Tick(runner.Now());
+      runner.Advance(Duration(10));
+    }
+  }
+
+  ManualTaskRunner runner;
+  MemoryVersionedStore store;
+  NarrowStore link;
+  std::map<std::string, std::string> values;
+  std::map<std::string, RowVersion> versions;
+  bool is_ordered = true;  // No row was handed over again, or an older one.
+  TableFollower follower;
+};
+
 }  // namespace
 
 TEST_CASE("A leader behind a narrow link reads hundreds of jobs") {
@@ -64,4 +114,43 @@
   CHECK(fixture.nodes[1].lease->fencing_token().epoch == epoch);
 }
 
+TEST_CASE(
+    "Rows that change while a table is read are neither old nor missing") {
+  FollowerFixture fixture;
+  const std::string large(kLargestPayload, 'x');
+  for (int n = 0; n < 400; ++n)
+    fixture.Put(n, large);
+  fixture.Run(Duration(700));
+  REQUIRE_FALSE(fixture.follower.ready());
+  // Some of these have been read already, the others follow.
+  for (int n = 0; n < 400; n += 40) {
+    fixture.Put(n, "new");
+    fixture.store.Delete({"jobs", "", JobName(n + 1)});
+  }
+  fixture.Put(1'000, "new");
+  fixture.Run(Duration(5'000));
+  CHECK(fixture.follower.ready());
+  CHECK(fixture.is_ordered);
+  CHECK(fixture.values.size() == 391);
+  CHECK(fixture.values[JobName(0)] == "new");
+  CHECK(fixture.values[JobName(360)] == "new");
+  CHECK(fixture.values[JobName(1'000)] == "new");
+  CHECK_FALSE(fixture.values.contains(JobName(361)));
+}
+
+TEST_CASE("Many changes at once do not make a follower read its table again") {
+  FollowerFixture fixture;
+  fixture.Run(Duration(1'000));
+  REQUIRE(fixture.follower.ready());
+  const int reads = fixture.store.reads();
+  const std::string large(kLargestPayload, 'x');
+  for (int n = 0; n < 300; ++n)
+    fixture.Put(n, large);
+  fixture.Run(Duration(2'500));
+  CHECK(fixture.values.size() == 300);
+  CHECK(fixture.store.reads() == reads);
+  CHECK(fixture.runner.Now() - fixture.follower.confirmed_at() <
+        Duration(1'000));
+}
+
 }  // namespace quetzalshelf::batch
