End calls of a follower whose callback never runs

Cause: `feeding` was cleared by the callback alone, so one lost callback would have stopped the follower for good without a log line, while the lease went on. Change: a feed without an end is given up after its time-outs and 1 s and asked again, as TableReading does for its pages.

--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -19,6 +19,8 @@
 // Silence of a feed without a wait after which the table is read instead. Long
 // enough for what else is on its way on a narrow link.
 constexpr Duration kCatchUpSilence{400};
+// A feed whose callback has not run so long after its time-out was lost.
+constexpr Duration kLostCallMargin{1'000};
 constexpr Duration kFirstRetry{50};
 // A follower that has had no answer for this long, beyond the wait of a feed
 // and the time between two, logs why. Later warnings come after twice the time.
@@ -110,6 +112,7 @@
     feeding = true;
     call_sent = now;
     feed_wait = wait;
+    feed_lost_at = now + silence + kLongestFeedAnswer + kLostCallMargin;
     store.Feed(options.table, version, wait, silence,
                [weak = weak_from_this(), call = ++feed_call](
                    const absl::StatusOr<StoreSnapshot>& result) {
@@ -119,6 +122,14 @@
                });
   }
 
+  // A call that never ends would stop the follower for good.
+  void EndLostFeed(TimePoint now) {
+    if (!feeding || now < feed_lost_at)
+      return;
+    ++feed_call;
+    OnFeed(absl::DeadlineExceededError("a feed did not end"));
+  }
+
   // With a minimum spacing, Tick() sends the next call once it is due.
   void Continue(TimePoint now) {
     if (now >= call_sent + options.spacing)
@@ -234,6 +245,7 @@
   bool feeding = false;
   uint64_t feed_call = 0;  // The latest; answers to others are dropped.
   Duration feed_wait{0};
+  TimePoint feed_lost_at;
   bool catching_up = false;  // The latest feed asks again after a silent one.
   bool following = false;
   bool ready = false;
@@ -268,6 +280,7 @@
 
 void TableFollower::Tick(TimePoint now) {
   state_->WarnIfLate(now);
+  state_->EndLostFeed(now);
   if (state_->reading) {
     state_->reading->Tick(now);
     return;
