Let a larger VM lead when a small one that led has restarted

Cause: a node that finds its own former process in the epoch row takes over at once, whatever its size, and a VM counted as small by the share of the last leader alone. Once a small VM had led, no larger one had any precedence. Change: the epoch row hands on the largest share of a core that any leader had. A VM with much less than that takes over last, and after its own restart records that the former leadership is released, so that a larger VM takes over at once. Sites where only small VMs have led behave as before.

--- a/core/json_reader.cc
+++ b/core/json_reader.cc
@@ -160,6 +160,10 @@
   return Find(field, false) == nullptr ? fallback : RequireBool(field);
 }
 
+double JsonReader::OptionalDouble(std::string_view field, double fallback) {
+  return Find(field, false) == nullptr ? fallback : RequireDouble(field);
+}
+
 int64_t JsonReader::OptionalInt(std::string_view field,
                                 int64_t min,
                                 int64_t max,
--- a/core/json_reader.h
+++ b/core/json_reader.h
@@ -46,6 +46,7 @@
                       int64_t min,
                       int64_t max,
                       int64_t fallback);
+  double OptionalDouble(std::string_view field, double fallback);
   std::string OptionalString(std::string_view field,
                              std::string fallback = "",
                              size_t max_size = 256);
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -102,11 +102,14 @@
     const std::string incarnation = reader.RequireString("incarnation");
     const std::string node = reader.RequireString("node");
     const double cpu_share = reader.RequireDouble("cpu_share");
+    const double largest_share =
+        reader.OptionalDouble("largest_cpu_share", cpu_share);
     if (findings.empty()) {
       epoch_row_.epoch = Epoch(epoch);
       epoch_holder_ = IncarnationId(incarnation);
       epoch_node_ = NodeId(node);
       leader_share_ = cpu_share;
+      largest_leader_share_ = std::max(largest_share, cpu_share);
     }
   }
   // The version is that of a take-over all the same: it fences former leaders.
@@ -161,7 +164,10 @@
     return;
   }
   if (WasLedByThisNode()) {
-    Acquire(now);
+    if (KnowsLargerVm())
+      ReleaseFormer(now);
+    else
+      Acquire(now);
     return;
   }
   // The store must have answered without a heartbeat during the silence,
@@ -193,7 +199,12 @@
 }
 
 Duration LeaderLease::CandidateDelay() const {
-  return jitter_ + (is_small_vm() ? kSmallVmDelay : Duration(0));
+  return jitter_ +
+         (is_small_vm() || KnowsLargerVm() ? kSmallVmDelay : Duration(0));
+}
+
+bool LeaderLease::KnowsLargerVm() const {
+  return options_.cpu_share < largest_leader_share_ * kSmallVmRatio;
 }
 
 bool LeaderLease::is_small_vm() const {
@@ -214,7 +225,9 @@
   const json value = {{"epoch", epoch.value()},
                       {"node", options_.node.value()},
                       {"incarnation", options_.incarnation.value()},
-                      {"cpu_share", options_.cpu_share}};
+                      {"cpu_share", options_.cpu_share},
+                      {"largest_cpu_share",
+                       std::max(largest_leader_share_, options_.cpu_share)}};
   StoreTransaction transaction;
   transaction.conditions = {{EpochRowKey(), epoch_row_.version},
                             {HeartbeatRowKey(), heartbeat_version_}};
@@ -234,6 +247,42 @@
                 });
 }
 
+void LeaderLease::ReleaseFormer(TimePoint now) {
+  busy_ = true;
+  next_try_ = now + kRetry;
+  LOG(INFO) << "releasing the leadership of the former process of this node: "
+               "epoch="
+            << epoch_row_.epoch << " cpu_share=" << options_.cpu_share
+            << " largest_leader_share=" << largest_leader_share_;
+  StoreTransaction transaction;
+  transaction.conditions = {{EpochRowKey(), epoch_row_.version}};
+  transaction.writes = {{HeartbeatRowKey(), HeartbeatValue(true)}};
+  store_.Commit(
+      transaction, kCommitTimeout,
+      [this, alive = alive_](const absl::StatusOr<CommitOutcome>& result) {
+        if (*alive)
+          OnFormerReleased(result);
+      });
+}
+
+void LeaderLease::OnFormerReleased(
+    const absl::StatusOr<CommitOutcome>& result) {
+  busy_ = false;
+  const TimePoint now = clock_.Now();
+  if (!result.ok()) {
+    LOG(WARNING) << "releasing a former leadership has no known outcome: "
+                 << result.status().message();
+    return;
+  }
+  if (!result->committed) {
+    OnRows(result->current, now);
+    return;
+  }
+  heartbeat_version_ = std::max(heartbeat_version_, result->version);
+  heartbeat_at_ = now;
+  released_ = true;
+}
+
 void LeaderLease::OnAcquired(const absl::StatusOr<CommitOutcome>& result,
                              Epoch epoch,
                              TimePoint sent) {
@@ -256,6 +305,7 @@
   epoch_holder_ = options_.incarnation;
   epoch_node_ = options_.node;
   leader_share_ = options_.cpu_share;
+  largest_leader_share_ = std::max(largest_leader_share_, options_.cpu_share);
   released_ = false;
   confirmed_at_ = std::max(confirmed_at_, sent);
   if (!leading_)
--- a/servers/batch/leader_lease.h
+++ b/servers/batch/leader_lease.h
@@ -108,6 +108,9 @@
   void OnEpochRow(const StoreRow& row, TimePoint now);
   void OnHeartbeatRow(const StoreRow& row, TimePoint now);
   void Acquire(TimePoint now);
+  // Releases the leadership that an earlier process of this node had.
+  void ReleaseFormer(TimePoint now);
+  void OnFormerReleased(const absl::StatusOr<CommitOutcome>& result);
   void SendHeartbeat(TimePoint now);
   void Lead(const FencingToken& fencing_token);
   void OnAcquired(const absl::StatusOr<CommitOutcome>& result,
@@ -122,6 +125,8 @@
   // Whether the leader of the epoch row was an earlier process of this node,
   // which is gone since there is only one at a time.
   bool WasLedByThisNode() const;
+  // Whether VMs that have led before this one had much more of a core.
+  bool KnowsLargerVm() const;
   void OnHeartbeat(const absl::StatusOr<CommitOutcome>& result, TimePoint sent);
   // Without the report if that makes it too large for a row.
   std::string HeartbeatValue(bool released);
@@ -138,6 +143,8 @@
   IncarnationId epoch_holder_;
   NodeId epoch_node_;
   double leader_share_ = 0;  // Share of a core of the leader; 0: unknown.
+  // Largest share of a core that any leader had, handed on by each.
+  double largest_leader_share_ = 0;
   RowVersion heartbeat_version_;
   TimePoint heartbeat_at_;
   Duration heartbeat_gap_{0};  // Mean time between heartbeats as seen here.
--- a/tests/batch/election_and_frontend_test.cc
+++ b/tests/batch/election_and_frontend_test.cc
@@ -73,6 +73,32 @@
   CHECK(fixture.Leader() == leader);
 }
 
+TEST_CASE(
+    "A small VM that led before its restart leaves that to a larger one") {
+  BatchFixture fixture;
+  fixture.AddNode("n1", 0.5);
+  fixture.Run(Duration(1'500));
+  fixture.AddNode("n2", 0.12);
+  fixture.Run(Duration(500));
+  fixture.Kill(0);
+  fixture.Run(Duration(4'000));
+  REQUIRE(fixture.Leader() == 1);
+  SUBCASE("with a larger VM") {
+    fixture.AddNode("n3", 0.5);
+    fixture.Run(Duration(500));
+    fixture.Kill(1);
+    fixture.AddNode("n2", 0.12);
+    fixture.Run(Duration(150));
+    CHECK(fixture.Leader() == 2);
+  }
+  SUBCASE("alone") {
+    fixture.Kill(1);
+    fixture.AddNode("n2", 0.12);
+    fixture.Run(Duration(300));
+    CHECK(fixture.Leader() == 2);
+  }
+}
+
 // Guards against waiting for the silence of a leader whose own node has
 // started again, as after a loss of power of all nodes.
 TEST_CASE("A node that led before its restart leads again at once") {
--- a/tests/drivers/event_http_test.cc
+++ b/tests/drivers/event_http_test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -10,6 +11,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 #include "drivers/http/event_http_client.h"
@@ -231,6 +233,41 @@
   CHECK(absl::IsDeadlineExceeded(Call(io, client, std::move(call)).status()));
 }
 
+// The peer sends its answer byte by byte.
+TEST_CASE("An answer that keeps arriving does not run into a stall time-out") {
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket peer(io);
+  asio::steady_timer timer(io);
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n" + std::string(40, 'x');
+  size_t sent = 0;
+  size_t bytes = answer.size();
+  std::function<void()> send_next = [&] {
+    if (sent == bytes)
+      return;
+    asio::write(peer, asio::buffer(&answer[sent++], 1));
+    timer.expires_after(Duration(10));
+    timer.async_wait([&](const asio::error_code&) { send_next(); });
+  };
+  acceptor.async_accept(peer, [&](const asio::error_code&) { send_next(); });
+  EventHttpClient client(io, ClientOptions());
+  HttpCall call = MakeCall(acceptor.local_endpoint().port(), "GET", "/");
+  call.stall_timeout = Duration(500);
+  SUBCASE("as long as its bytes come") {
+    // Some 80 bytes, 10 ms apart, take longer than the stall time-out.
+    CHECK(Call(io, client, std::move(call)).ok());
+  }
+  SUBCASE("but does when they stop") {
+    bytes = answer.size() / 2;
+    CHECK(absl::IsDeadlineExceeded(Call(io, client, std::move(call)).status()));
+  }
+  SUBCASE("but runs into the time-out of the whole answer") {
+    call.timeout = Duration(300);
+    CHECK(absl::IsDeadlineExceeded(Call(io, client, std::move(call)).status()));
+  }
+}
+
 TEST_CASE("A port without a listener is told as not sent") {
   asio::io_context io;
   int port = 0;
