Tell a slow store from a narrow link, and bound what repeats itself

Cause: pages shrank with the time of an answer, so that a store that takes 300 ms an answer was read a row at a time; eight pages that timed out together shrank them eight times; looks for states, whose answers may now arrive slowly, had no limit; LogStartability compared operands whose order is not defined. Change: the store's own time is left out of the time of a page, also when it grows; pages shrink once for those under way together; at most three looks are under way for a batch; a catch-up that took long counts as an interruption.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -179,7 +179,8 @@
 
 void Dispatcher::LogStartability(TimePoint now) {
   const DispatcherStatus status = Status(now);
-  if (std::exchange(blocked_, !status.may_start) != blocked_) {
+  const bool was_blocked = std::exchange(blocked_, !status.may_start);
+  if (was_blocked != blocked_) {
     const bool first = blocked_since_ == began_;
     if (status.may_start && (first || blocked_warning_ > kBlockedWarning)) {
       LOG(INFO) << "tasks can start: epoch=" << fencing_token_.epoch
--- a/servers/batch/state_writer.cc
+++ b/servers/batch/state_writer.cc
@@ -25,6 +25,8 @@
 constexpr Duration kShortestTimeout{1'500};
 constexpr Duration kLongestTimeout{3'000};
 constexpr Duration kLookTimeout{600};
+// Looks for one batch at the same time. The answer of a look may arrive slowly.
+constexpr int kMaxLooks = 3;
 // Interval of the looks for one transaction. A silent store answers no look
 // either, so this bounds how late its return is noticed.
 constexpr Duration kLookInterval{200};
@@ -146,9 +148,11 @@
 
 void StateWriter::LookForOverdue(TimePoint now) {
   for (const std::shared_ptr<Batch>& it : in_flight_) {
-    if (now - it->sent < OverdueAfter() || now < it->next_look)
+    if (now - it->sent < OverdueAfter() || now < it->next_look ||
+        it->looks >= kMaxLooks)
       continue;
     it->next_look = now + kLookInterval;
+    ++it->looks;
     store_.Feed(kStateTable, seen_version_, Duration(0), kLookTimeout,
                 [this, alive = alive_, batch = it, copy = it->copies,
                  now](const absl::StatusOr<StoreSnapshot>& result) {
@@ -162,6 +166,7 @@
                          int copy,
                          TimePoint looked_at,
                          const absl::StatusOr<StoreSnapshot>& result) {
+  --batch->looks;
   if (batch->settled || !result.ok())
     return;
   const Batch::Item& first = batch->items.front();
--- a/servers/batch/state_writer.h
+++ b/servers/batch/state_writer.h
@@ -76,6 +76,7 @@
     TimePoint sent;
     Duration timeout{0};
     TimePoint next_look;     // In the feed, while its answer is overdue.
+    int looks = 0;           // Under way.
     bool seen_slow = false;  // The store answered meanwhile.
     bool settled = false;    // Its outcome is known.
   };
--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -16,9 +16,11 @@
 // a healthy and for an overloaded store.
 constexpr Duration kMinFeedSlack{120};
 constexpr Duration kMaxFeedSlack{700};
-// Silence of a feed without a wait after which the table is read instead. Long
-// enough for what else is on its way on a narrow link.
-constexpr Duration kCatchUpSilence{400};
+// Time-out of a feed without a wait, unless the store is known to be slower.
+// Long enough for what else is on its way on a narrow link.
+constexpr Duration kCatchUpTimeout{400};
+// A call that took longer than this may have met an outage without answers.
+constexpr Duration kInterruption{250};
 // A feed whose callback has not run so long after its time-out was lost.
 constexpr Duration kLostCallMargin{1'000};
 constexpr Duration kFirstRetry{50};
@@ -51,8 +53,15 @@
         TableReadingOptions{.table = options.table,
                             .partitions = options.partitions,
                             .longest_retry = options.longest_retry},
-        [this](TableContent content) { FinishRead(std::move(content)); },
-        [this](const absl::Status& status) { RecordFailure(status); }, ++seed);
+        [weak = weak_from_this()](TableContent content) {
+          if (const auto self = weak.lock(); self && !self->stopped)
+            self->FinishRead(std::move(content));
+        },
+        [weak = weak_from_this()](const absl::Status& status) {
+          if (const auto self = weak.lock(); self && !self->stopped)
+            self->RecordFailure(status);
+        },
+        ++seed);
     reading->Tick(now);
   }
 
@@ -105,7 +114,8 @@
   // used again, and the store may have much to send.
   void CatchUp(TimePoint now) {
     catching_up = true;
-    SendFeed(now, Duration(0), kCatchUpSilence);
+    SendFeed(now, Duration(0),
+             answer_time.Timeout(kCatchUpTimeout, kMaxFeedSlack));
   }
 
   void SendFeed(TimePoint now, Duration wait, Duration silence) {
@@ -145,6 +155,8 @@
       OnFeedFailure(result.status(), caught_up);
       return;
     }
+    if (caught_up && clock.Now() - call_sent > kInterruption)
+      interrupted = true;
     if (result->rows.empty())
       answer_time.Observe(clock.Now() - call_sent - feed_wait);
     version = std::max(version, result->version);
--- a/servers/batch/table_reading.cc
+++ b/servers/batch/table_reading.cc
@@ -19,9 +19,11 @@
 // fast the link is.
 constexpr size_t kFirstRows = 32;
 constexpr size_t kMostRows = 4'000;
-// Pages grow while they take less time than the first figure, and shrink when
-// they take more than the second. Both are well below the leader's heartbeat,
-// whose answers share the link.
+constexpr size_t kMostRowsOfPage = 500;  // The platform's limit.
+// Pages grow while their bytes take less time than the first figure, and shrink
+// when they take more than the second: the time of a page beyond the fastest
+// answer, which is the store's. Both are well below the period of the leader's
+// heartbeats, whose answers share the link.
 constexpr Duration kFastPage{60};
 constexpr Duration kSlowPage{200};
 
@@ -69,9 +71,9 @@
   size_t PageRows() const {
     const auto unfinished = static_cast<size_t>(
         std::ranges::count(partitions, false, &Partition::done));
-    return std::max<size_t>(
-        1,
-        rows_at_once / std::max<size_t>(1, std::min(unfinished, MaxActive())));
+    const size_t active =
+        std::max<size_t>(1, std::min(unfinished, MaxActive()));
+    return std::clamp<size_t>(rows_at_once / active, 1, kMostRowsOfPage);
   }
 
   void SendDue(TimePoint now) {
@@ -122,7 +124,11 @@
   }
 
   void RepeatUnanswered(TimePoint now) {
-    if (now < std::max(heard_at, last_sent) + kRepeatAfter)
+    // A slow store is not a silent one.
+    const Duration wait = statistics.pages == 0
+                              ? kRepeatAfter
+                              : std::max(kRepeatAfter, 2 * content.answer_time);
+    if (now < std::max(heard_at, last_sent) + wait)
       return;
     // Only one call, since a slow link would be slowed further.
     const auto it = std::ranges::find_if(partitions, [](const Partition& part) {
@@ -131,7 +137,6 @@
     if (it == partitions.end() || it->calls >= kMaxCopies)
       return;
     silent = interrupted = true;
-    rows_at_once = std::max<size_t>(1, rows_at_once / 2);
     SendCopy(*it, now);
   }
 
@@ -149,14 +154,14 @@
       return;
     const TimePoint now = clock.Now();
     if (!result.ok()) {
-      OnPageFailure(partition, result.status(), now);
+      OnPageFailure(partition, result.status(), sent, now);
       return;
     }
     heard_at = now;
     retry.Reset();
     AddRows(partition, *result, sent);
-    AdjustPageRows(sent, now);
     content.answer_time = std::min(content.answer_time, Duration(now - sent));
+    AdjustPageRows(sent, now);
     partition.calls = 0;
     ++partition.page;
     if (result->complete || result->rows.empty())
@@ -177,12 +182,13 @@
 
   void OnPageFailure(Partition& partition,
                      const absl::Status& status,
+                     TimePoint sent,
                      TimePoint now) {
     --partition.calls;
-    if (absl::IsDeadlineExceeded(status))
-      rows_at_once = std::max<size_t>(1, rows_at_once / 2);
-    else
+    if (!absl::IsDeadlineExceeded(status))
       heard_at = now;
+    else if (sent >= rows_changed_at)
+      HalvePageRows(now);
     partition.retry_at = now + retry.Next();
     RecordFailure(status);
   }
@@ -217,12 +223,28 @@
     // Once for the pages that are under way together.
     if (sent < rows_changed_at)
       return;
-    if (now - sent <= kFastPage)
+    const Duration elapsed = now - sent;
+    const Duration transfer = elapsed - content.answer_time;
+    if (transfer <= kFastPage) {
       rows_at_once = std::min(kMostRows, rows_at_once * 2);
-    else if (now - sent > kSlowPage)
-      rows_at_once = std::max<size_t>(1, rows_at_once / 2);
-    else
+      rows_changed_at = now;
+      return;
+    }
+    if (transfer <= kSlowPage)
+      return;
+    // A smaller page that took about as long as the one before does not wait
+    // for the link: the store has become slower.
+    if (elapsed * 4 > slow_page_time * 3 && slow_page_time > Duration(0)) {
+      content.answer_time = elapsed;
+      slow_page_time = Duration(0);
       return;
+    }
+    slow_page_time = elapsed;
+    HalvePageRows(now);
+  }
+
+  void HalvePageRows(TimePoint now) {
+    rows_at_once = std::max<size_t>(1, rows_at_once / 2);
     rows_changed_at = now;
   }
 
@@ -243,6 +265,7 @@
   TableReadingStatistics statistics;
   size_t rows_at_once = kFirstRows;
   TimePoint rows_changed_at;
+  Duration slow_page_time{0};  // Of the page that made pages smaller; 0: none.
   TimePoint heard_at;
   TimePoint last_sent;
   bool silent = false;  // A copy was sent and nothing answered since.
--- a/servers/batch/table_reading.h
+++ b/servers/batch/table_reading.h
@@ -47,7 +47,8 @@
   RowVersion last_version;
   // All rows were current at this time or later.
   TimePoint current_at;
-  Duration answer_time = Duration::max();  // Of the fastest page.
+  // Estimate of the store's own part in the time of a page.
+  Duration answer_time = Duration::max();
 };
 
 class TableReading {
