--- a/tests/batch/narrow_link_test.cc
+++ b/tests/batch/narrow_link_test.cc
@@ -43,6 +43,8 @@
     const int node = static_cast<int>(nodes.size()) - 1;
     while (Leader() != node)
       Run(Duration(10));
+    // Takes over if heartbeats come late.
+    AddNode("n3");
     const TimePoint led = runner.Now();
     while (runner.Now() < led + limit &&
            !(DispatcherOf(node) &&
@@ -52,11 +54,11 @@
   }
 };
 
-// Follows one table of a store behind a narrow link.
+// Follows one table of a store over a link.
 struct FollowerFixture {
-  FollowerFixture()
+  explicit FollowerFixture(int64_t link_bytes_per_second = kNarrowLink)
       : store(runner, Duration(2)),
-        link(store, runner, runner, kNarrowLink),
+        link(store, runner, runner, link_bytes_per_second),
         follower(
             link,
             runner,
@@ -138,6 +140,38 @@
   CHECK_FALSE(fixture.values.contains(JobName(361)));
 }
 
+TEST_CASE("A large table is read soon from a slow store and during outages") {
+  FollowerFixture fixture(100 * kNarrowLink);
+  for (int n = 0; n < 1'000; ++n)
+    fixture.Put(n, "{}");
+  SUBCASE("that answers slowly") {
+    fixture.store.set_answer_time(Duration(300));
+    fixture.Run(Duration(4'000));
+  }
+  SUBCASE("that answers more slowly after a while") {
+    fixture.store.set_answer_time(Duration(100));
+    fixture.Run(Duration(250));
+    fixture.store.set_answer_time(Duration(600));
+    fixture.Run(Duration(6'000));
+  }
+  SUBCASE("that refuses for a while") {
+    fixture.Run(Duration(10));
+    fixture.store.faults().refuse = true;
+    fixture.Run(Duration(2'000));
+    fixture.store.faults().refuse = false;
+    fixture.Run(Duration(1'000));
+  }
+  SUBCASE("that drops its history") {
+    fixture.Run(Duration(10));
+    REQUIRE_FALSE(fixture.follower.ready());
+    fixture.store.DropHistory();
+    fixture.Run(Duration(1'000));
+  }
+  CHECK(fixture.values.size() == 1'000);
+  CHECK(fixture.runner.Now() - fixture.follower.confirmed_at() <
+        Duration(1'800));
+}
+
 TEST_CASE("Many changes at once do not make a follower read its table again") {
   FollowerFixture fixture;
   fixture.Run(Duration(1'000));
