Keep finished jobs known until the deletion of their rows has settled

Cause: a leader forgot a finished job before the deletion of its rows was known to have succeeded, and never tried again. A later read of the whole table of jobs, or one under way during the deletion, delivered the row of a job that nobody knew, without its state, and its tasks ran again. Change: a finished job stays known until a minute after its rows were deleted; a deletion that fails is tried again.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -28,6 +28,9 @@
 constexpr Duration kRecoveredRunGrace{1'000};
 // Twice the time for which callers may query a finished job.
 constexpr Duration kFinishedJobRetention{240'000};
+// A read of all jobs that began before the rows of a job were deleted may still
+// deliver them; it takes less than this.
+constexpr Duration kDeletedJobRetention{60'000};
 constexpr Duration kCleanupPeriod{5'000};
 constexpr Duration kCleanupTimeout{1'000};
 // Changes within this time are handled in one scheduling pass. A pass visits
@@ -490,16 +493,30 @@
 }
 
 void Dispatcher::ForgetOldJobs(TimePoint now) {
+  for (auto& [id, job] : finished_) {
+    if (job.deleting || now - job.since <= kFinishedJobRetention)
+      continue;
+    job.deleting = true;
+    DeleteRows(id, job.state_version);
+  }
   std::erase_if(finished_, [&](const auto& entry) {
     const auto& [id, job] = entry;
-    if (now - job.since <= kFinishedJobRetention)
+    if (!job.deleted_at || now - *job.deleted_at <= kDeletedJobRetention)
       return false;
     cancelled_.erase(id);
-    DeleteRows(id, job.state_version);
     return true;
   });
 }
 
+void Dispatcher::OnRowsDeleted(const JobId& id, bool deleted, TimePoint now) {
+  const auto it = finished_.find(id);
+  if (it == finished_.end())
+    return;
+  it->second.deleting = deleted;
+  if (deleted)
+    it->second.deleted_at = now;
+}
+
 void Dispatcher::DeleteRows(const JobId& id, RowVersion state_version) {
   // The job's rows go first: a state without a job is harmless, a job without
   // its state would run again.
@@ -511,6 +528,7 @@
        state_version](const absl::StatusOr<CommitOutcome>& result) {
         if (!*alive)
           return;
+        OnRowsDeleted(id, result.ok(), clock_.Now());
         if (!result.ok()) {
           LOG(WARNING) << "old job " << id
                        << " was not deleted: " << result.status().message();
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -132,6 +132,7 @@
   void RetireFinishedJobs();
   void ForgetOldJobs(TimePoint now);
   void DeleteRows(const JobId& id, RowVersion state_version);
+  void OnRowsDeleted(const JobId& id, bool deleted, TimePoint now);
 
   // dispatcher_orders.cc: start and stop orders to workers.
   void TickRuns(TimePoint now);
@@ -272,6 +273,8 @@
   struct FinishedJob {
     TimePoint since;
     RowVersion state_version;
+    bool deleting = false;  // A deletion of its rows is under way or done.
+    std::optional<TimePoint> deleted_at;
   };
 
   std::map<JobId, std::unique_ptr<Job>> jobs_;
--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr char kFinishedJob[] = "00000000000000f9";
+
 using nlohmann::json;
 
 constexpr char kJob[] = "00000000000000c1";
@@ -122,4 +124,21 @@
   CHECK(fixture.workers.running() == 0);
 }
 
+TEST_CASE("A finished job does not run again when its rows outlive it") {
+  LeaderFixture fixture;
+  fixture.Submit(kFinishedJob, MakeJob(1, 1, false));
+  REQUIRE(fixture.RunUntilFinal(kFinishedJob, Duration(10'000)) ==
+          JobPhase::kComplete);
+  // The leader deletes the rows of a finished job after four minutes.
+  fixture.Run(Duration(236'000));
+  fixture.store.faults().refuse = true;
+  fixture.Run(Duration(12'000));
+  fixture.store.faults().refuse = false;
+  fixture.store.DropHistory();
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.workers.total_starts() == 1);
+  fixture.Run(Duration(10'000));
+  CHECK_FALSE(fixture.store.Find(JobRowKey(JobId(kFinishedJob))));
+}
+
 }  // namespace quetzalshelf::batch
