Let the soak play narrow links, many nodes and standing jobs

Change: the proxy shares a bandwidth among the answers of a node's connections; nodes, racks, payloads, bandwidth and a calm time between faults can be given; "kill the leader" is a kind of fault; StandCheck reports an accepted job that has nothing running for 3 s of calm, 4 s after the last fault, while workers have room for it twice over and are under half full.

--- a/standins/proxy/fault_proxy.cc
+++ b/standins/proxy/fault_proxy.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -86,15 +87,16 @@
           owner(std::move(proxy)) {}
 
     void Read(Lane& lane) {
-      lane.from->async_read_some(asio::buffer(lane.buf),
-                                 [self = shared_from_this(), &lane](
-                                     const asio::error_code& ec, size_t n) {
-                                   const auto proxy = self->owner.lock();
-                                   if (!proxy)
-                                     return;
-                                   const Duration delay = proxy->faults.delay;
-                                   self->Pass(lane, ec ? 0 : n, delay);
-                                 });
+      lane.from->async_read_some(
+          asio::buffer(lane.buf), [self = shared_from_this(), &lane](
+                                      const asio::error_code& ec, size_t n) {
+            const auto proxy = self->owner.lock();
+            if (!proxy)
+              return;
+            const size_t size = ec ? 0 : n;
+            self->Pass(lane, size,
+                       proxy->faults.delay + proxy->Reserve(lane, size));
+          });
     }
 
     // Forwards `n` bytes, or the end of the stream when there are none, once
@@ -154,6 +156,19 @@
     std::weak_ptr<Impl> owner;
   };
 
+  // Time until the shared link has carried `n` more bytes. A lane reads on only
+  // then, so that connections take turns.
+  Duration Reserve(const Lane& lane, size_t n) {
+    const int64_t rate = faults.answer_bytes_per_second;
+    if (rate == 0 || lane.held != &ProxyFaults::holds_answers)
+      return Duration(0);
+    const auto now = std::chrono::steady_clock::now();
+    free_at_ =
+        std::max(free_at_, now) +
+        std::chrono::microseconds(static_cast<int64_t>(n) * 1'000'000 / rate);
+    return std::chrono::duration_cast<Duration>(free_at_ - now);
+  }
+
   std::vector<std::shared_ptr<Link>> TakeLinks() {
     return std::exchange(links_, {});
   }
@@ -201,6 +216,7 @@
   tcp::acceptor acceptor_;
   const std::string target_host_;
   const int target_port_;
+  std::chrono::steady_clock::time_point free_at_;  // The shared link.
   std::vector<std::shared_ptr<Link>> links_;
 };
 
--- a/standins/proxy/fault_proxy.h
+++ b/standins/proxy/fault_proxy.h
@@ -4,6 +4,7 @@
 #ifndef STANDINS_PROXY_FAULT_PROXY_H_
 #define STANDINS_PROXY_FAULT_PROXY_H_
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -17,7 +18,9 @@
 // Bytes that are held back are delivered when the fault ends, even if the
 // sender has closed its connection by then: a request may arrive seconds late.
 struct ProxyFaults {
-  Duration delay{0};         // Of each piece of data, each way.
+  Duration delay{0};  // Of each piece of data, each way.
+  // Bandwidth that the answers of all connections share; 0: no limit.
+  int64_t answer_bytes_per_second = 0;
   bool holds_calls = false;  // Nothing passes from the client to the target.
   bool holds_answers = false;
   bool refuses = false;  // New connections are closed at once.
--- a/tests/soak/entry_process.cc
+++ b/tests/soak/entry_process.cc
@@ -23,7 +23,10 @@
 EntryProcess::EntryProcess(asio::io_context& io, EntryProcessOptions options)
     : options_(std::move(options)),
       caller_proxy_(io, options_.host, kCallerPort),
-      store_proxy_(io, "127.0.0.1", options_.store_port) {}
+      store_proxy_(io, "127.0.0.1", options_.store_port) {
+  store_proxy_.faults().answer_bytes_per_second =
+      options_.link_bytes_per_second;
+}
 
 absl::Status EntryProcess::Start() {
   for (FaultProxy* const it : {&caller_proxy_, &store_proxy_}) {
--- a/tests/soak/entry_process.h
+++ b/tests/soak/entry_process.h
@@ -24,6 +24,8 @@
   std::string domain;
   std::string host;  // A loopback address of this node alone.
   int store_port = 0;
+  double cpu_share = 0.5;             // As told to the node; not enforced.
+  int64_t link_bytes_per_second = 0;  // From the store; 0: no limit.
 };
 
 // Each signal has its effect on the process of that moment, if there is one.
@@ -45,6 +47,7 @@
   // process since the last call; empty when nothing did.
   std::string Tick(TimePoint now);
 
+  const std::string& name() const { return options_.name; }
   int caller_port() const { return caller_proxy_.port(); }
   FaultProxy& caller_proxy() { return caller_proxy_; }
   FaultProxy& store_proxy() { return store_proxy_; }
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -1,6 +1,7 @@
 #include "tests/soak/soak_callers.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <absl/strings/str_format.h>
@@ -60,6 +61,7 @@
 SoakCallers::SoakCallers(asio::io_context& io,
                          const ModelWorkers& workers,
                          std::vector<int> ports,
+                         size_t payload_bytes,
                          uint64_t seed)
     : runner_(io),
       client_(io,
@@ -72,6 +74,7 @@
       began_(clock_.Now()),
       random_(seed),
       count_random_(seed + 1),
+      payload_bytes_(payload_bytes),
       seed_(seed) {}
 
 batch::JobSpec SoakCallers::MakeSpec(size_t queue) {
@@ -84,6 +87,8 @@
   step.estimate = Duration(random_.Between(300, 2'000));
   batch::JobSpec spec;
   spec.payload = step.gang ? EncodeGang(step.tasks) : "";
+  if (payload_bytes_ > spec.payload.size())
+    spec.payload += std::string(payload_bytes_ - spec.payload.size(), ' ');
   spec.steps = {step};
   if (queue == 2 && random_.Chance(0.3)) {
     step.depends_on = {0};
@@ -338,6 +343,57 @@
   return CountOwed(jobs, asked_at);
 }
 
+bool SoakCallers::IsIdle(const Job& job) const {
+  bool over = true;
+  for (size_t step = 0; step < job.spec.steps.size(); ++step) {
+    const batch::StepSpec& spec = job.spec.steps[step];
+    int done = 0;
+    for (int n = 0; n < spec.tasks; ++n) {
+      const batch::TaskId task{JobId(job.id), 0, static_cast<int>(step), n};
+      if (workers_.IsRunning(task))
+        return false;
+      done += workers_.IsDone(task) ? 1 : 0;
+    }
+    over = over && done >= (spec.gang ? 1 : spec.tasks);
+  }
+  return !over;
+}
+
+void SoakCallers::CheckStandingJobs(
+    const std::vector<batch::WorkerEntry>& workers,
+    TimePoint calm_since) {
+  std::map<WorkerId, int> used;
+  std::vector<StandCheck::Job> jobs;
+  for (const JobPointer& it : jobs_) {
+    if (it->settled || !it->accepted)
+      continue;
+    const batch::StepSpec& step = it->spec.steps.front();
+    const int each = static_cast<int>(step.resources.accelerators.value());
+    for (size_t n = 0; n < it->spec.steps.size(); ++n) {
+      for (int index = 0; index < step.tasks; ++index) {
+        const WorkerId holder =
+            workers_.HolderOf({JobId(it->id), 0, static_cast<int>(n), index});
+        if (!holder.empty())
+          used[holder] += each;
+      }
+    }
+    const bool may_be_over = it->cancel_sent || !it->final_state.empty();
+    if (!may_be_over && IsIdle(*it))
+      jobs.push_back({it->id, it->accepted_at, step.tasks, each});
+  }
+  std::vector<StandCheck::Room> rooms;
+  for (const batch::WorkerEntry& it : workers) {
+    const int all = static_cast<int>(it.capacity.accelerators.value());
+    rooms.push_back({.all = all, .free = all - used[it.id]});
+  }
+  for (const std::string& it :
+       stand_check_.Observe(jobs, rooms, clock_.Now(), calm_since)) {
+    violations_.push_back(
+        absl::StrFormat("%s: stands still at %d ms, with room for it", it,
+                        (clock_.Now() - began_).count()));
+  }
+}
+
 void SoakCallers::Settle(const JobPointer& job) {
   if (!std::exchange(job->settled, true))
     --open_jobs_;
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -17,6 +17,7 @@
 #include "drivers/http/event_http_client.h"
 #include "servers/batch/types.h"
 #include "standins/fleet/model_workers.h"
+#include "tests/soak/stand_check.h"
 
 namespace quetzalshelf::soak {
 
@@ -37,7 +38,8 @@
 // Promises checked, each as far as callers and workers can see it: an accepted
 // job is known and becomes final; a final state stays; a job is complete only
 // when its tasks are done, cancelled only when asked to, and failed only after
-// enough failures; a refused job never starts; a count of waiting jobs is at
+// enough failures; a refused job never starts; no accepted job stands still for
+// long while there is room for it; a count of waiting jobs is at
 // least half of those that it must include.
 class SoakCallers {
  public:
@@ -45,6 +47,7 @@
   SoakCallers(asio::io_context& io,
               const ModelWorkers& workers,
               std::vector<int> ports,
+              size_t payload_bytes,
               uint64_t seed);
 
   // Submits one job and follows it to its end.
@@ -53,6 +56,10 @@
   void SubmitSurge(int jobs);
   // Asks each node how many jobs of one queue wait.
   void AskCounts();
+  // Looks for accepted jobs that stand still although `workers` have room for
+  // them. `calm_since` is when the last fault ended.
+  void CheckStandingJobs(const std::vector<batch::WorkerEntry>& workers,
+                         TimePoint calm_since);
   // Jobs that are not settled yet.
   int open_jobs() const { return open_jobs_; }
   // Checks what has to hold once all jobs are settled.
@@ -83,6 +90,8 @@
                TimePoint asked_at,
                const absl::StatusOr<HttpResponse>& response);
   int64_t CountOwedJobs(size_t queue, TimePoint asked_at) const;
+  // Whether a task could run now, and none does.
+  bool IsIdle(const Job& job) const;
   void After(Duration least, Duration most, std::function<void()> task);
   void SendSubmission(const JobPointer& job);
   void OnSubmission(const JobPointer& job,
@@ -107,10 +116,12 @@
   TimePoint began_;
   Random random_;
   Random count_random_;
+  const size_t payload_bytes_;
   const uint64_t seed_;
   CallerCounts counts_;
   int open_jobs_ = 0;
   std::vector<JobPointer> jobs_;
+  StandCheck stand_check_;
   std::vector<std::string> violations_;
 };
 
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -17,6 +17,7 @@
 const SoakFaults::Kind SoakFaults::kKinds[] = {
     {"kill a node", &SoakFaults::KillNode},
     {"kill a node", &SoakFaults::KillNode},
+    {"kill the leader", &SoakFaults::KillLeader},
     {"kill all nodes", &SoakFaults::KillAllNodes},
     {"terminate a node", &SoakFaults::TerminateNode},
     {"pause a node", &SoakFaults::PauseNode},
@@ -106,6 +107,14 @@
   AnyNode().Kill(now, Length(0, 2'000));
 }
 
+void SoakFaults::KillLeader(TimePoint now) {
+  const std::string leader = fleet_.Leader();
+  for (const auto& it : nodes_) {
+    if (it->name() == leader)
+      it->Kill(now, Length(0, 1'000));
+  }
+}
+
 void SoakFaults::KillAllNodes(TimePoint now) {
   for (const auto& it : nodes_)
     it->Kill(now, Length(0, 1'000));
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -50,6 +50,7 @@
   void EndAfter(Duration length, std::function<void()> end);
 
   void KillNode(TimePoint now);
+  void KillLeader(TimePoint now);
   void KillAllNodes(TimePoint now);
   void TerminateNode(TimePoint now);
   void PauseNode(TimePoint now);
--- a/tests/soak/soak_fleet.cc
+++ b/tests/soak/soak_fleet.cc
@@ -2,8 +2,12 @@
 
 #include <cstdlib>
 #include <functional>
+#include <optional>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
+#include "servers/batch/leader_lease.h"
 #include "standins/fleet/fleet_codec.h"
 
 namespace quetzalshelf::soak {
@@ -11,7 +15,6 @@
 namespace {
 
 constexpr Duration kAnswerTime{2};
-constexpr int kRacks = 2;
 constexpr int kWorkersPerRack = 4;
 constexpr int64_t kShortestRunMs = 300;
 constexpr uint64_t kRunSpreadMs = 1'200;
@@ -56,8 +59,9 @@
   return kGangPrefix + std::to_string(members);
 }
 
-SoakFleet::SoakFleet(asio::io_context& io, uint64_t seed)
+SoakFleet::SoakFleet(asio::io_context& io, int racks, uint64_t seed)
     : io_(io),
+      racks_(racks),
       runner_(io),
       store_(runner_, kAnswerTime),
       workers_(
@@ -73,7 +77,7 @@
   if (absl::Status status = store_server_.Start(); !status.ok())
     return status;
   ChangeConfig();
-  for (int rack = 0; rack < kRacks; ++rack) {
+  for (int rack = 0; rack < racks_; ++rack) {
     for (int n = 0; n < kWorkersPerRack; ++n) {
       if (absl::Status status = AddWorker(rack, n); !status.ok())
         return status;
@@ -85,10 +89,10 @@
 absl::Status SoakFleet::AddWorker(int rack, int n) {
   Slot slot;
   batch::WorkerEntry& entry = slot.entry;
-  entry.id = WorkerId("w" + std::to_string(rack) + std::to_string(n));
+  entry.id = WorkerId("w" + std::to_string(rack) + "-" + std::to_string(n));
   entry.service = batch::ServiceName(kService);
   entry.host = "127.0.0.1";
-  entry.domain = DomainId(kDomains[rack]);
+  entry.domain = DomainId(kDomains[rack % 2]);
   entry.rack = RackId("r1-" + std::to_string(rack));
   entry.labels = {"a", entry.rack.value()};
   entry.capacity = {Accelerators(8), MilliCores(64'000), Mebibytes(131'072)};
@@ -107,6 +111,14 @@
   return absl::OkStatus();
 }
 
+std::string SoakFleet::Leader() const {
+  const std::optional<StoreRow> row = store_.Find(batch::EpochRowKey());
+  if (!row)
+    return "";
+  const auto value = nlohmann::json::parse(row->value, nullptr, false);
+  return value.is_object() ? value.value("node", "") : "";
+}
+
 ModelWorkerFaults& SoakFleet::worker_faults(size_t n) {
   return workers_.faults(slots_[n].entry.id);
 }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -33,13 +33,17 @@
 
 class SoakFleet {
  public:
-  SoakFleet(asio::io_context& io, uint64_t seed);
+  SoakFleet(asio::io_context& io, int racks, uint64_t seed);
 
   // Errors: kUnavailable.
   absl::Status Start();
 
+  // The node that leads or led last, as the store tells; empty without one.
+  std::string Leader() const;
+
   int store_port() const { return store_server_.port(); }
   size_t worker_count() const { return slots_.size(); }
+  const batch::WorkerEntry& worker(size_t n) const { return slots_[n].entry; }
   FaultProxy& worker_proxy(size_t n) { return *slots_[n].proxy; }
   ModelWorkerFaults& worker_faults(size_t n);
   // Crashes a worker, which starts again under its id.
@@ -65,6 +69,7 @@
   absl::Status AddWorker(int rack, int n);
 
   asio::io_context& io_;
+  const int racks_;
   AsioTaskRunner runner_;
   SystemClock clock_;
   MemoryVersionedStore store_;
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -25,7 +25,12 @@
 
 namespace {
 
-constexpr size_t kNodes = 3;
+// Nodes beyond these have the share of a core of the smallest VMs.
+constexpr size_t kLargeNodes = 2;
+constexpr double kLargeCpuShare = 0.5;
+constexpr double kSmallCpuShare = 0.12;
+constexpr int kWorkersPerRack = 4;  // As of SoakFleet.
+constexpr Duration kStandGap{200};
 constexpr Duration kTick{20};
 constexpr Duration kStartTime{1'500};  // For a leader to be found.
 // About two thirds of what the workers can run.
@@ -53,6 +58,12 @@
   int seconds = 12;
   int recovery_limit_s = 0;
   std::vector<std::string> kinds;
+  size_t nodes = 3;
+  int racks = 2;
+  int64_t link_bytes_per_second = 0;
+  size_t payload_bytes = 0;
+  // Least time between two faults; 0: less than a second, by chance.
+  int calm_s = 0;
   bool keep = false;
 };
 
@@ -73,7 +84,7 @@
         random_(seed),
         surge_random_(seed + 2),
         timer_(io_),
-        fleet_(io_, seed) {}
+        fleet_(io_, options.racks, seed) {}
 
   // Whether every promise was kept.
   bool Run() {
@@ -93,20 +104,23 @@
     if (absl::Status status = fleet_.Start(); !status.ok())
       return status;
     std::vector<int> ports;
-    for (size_t n = 0; n < kNodes; ++n) {
-      EntryProcessOptions options{.daemon = options_.daemon,
-                                  .work_dir = dir_,
-                                  .name = "n" + std::to_string(n),
-                                  .domain = n % 2 == 0 ? "cartago" : "heredia",
-                                  .host = NodeHost(n),
-                                  .store_port = fleet_.store_port()};
+    for (size_t n = 0; n < options_.nodes; ++n) {
+      EntryProcessOptions options{
+          .daemon = options_.daemon,
+          .work_dir = dir_,
+          .name = "n" + std::to_string(n),
+          .domain = n % 2 == 0 ? "cartago" : "heredia",
+          .host = NodeHost(n),
+          .store_port = fleet_.store_port(),
+          .cpu_share = n < kLargeNodes ? kLargeCpuShare : kSmallCpuShare,
+          .link_bytes_per_second = options_.link_bytes_per_second};
       nodes_.push_back(std::make_unique<EntryProcess>(io_, std::move(options)));
       if (absl::Status status = nodes_.back()->Start(); !status.ok())
         return status;
       ports.push_back(nodes_.back()->caller_port());
     }
-    callers_ = std::make_unique<SoakCallers>(io_, fleet_.workers(),
-                                             std::move(ports), seed_);
+    callers_ = std::make_unique<SoakCallers>(
+        io_, fleet_.workers(), std::move(ports), options_.payload_bytes, seed_);
     faults_ = std::make_unique<SoakFaults>(io_, fleet_, nodes_, options_.kinds,
                                            seed_, fault_log_);
     began_ = clock_.Now();
@@ -127,6 +141,10 @@
       callers_->AskCounts();
       next_count_ = now + kCountGap;
     }
+    if (now >= next_stand_check_) {
+      CheckStandingJobs();
+      next_stand_check_ = now + kStandGap;
+    }
     const bool faulty = now < began_ + Duration(options_.seconds * 1'000);
     if (faulty)
       Disturb(now);
@@ -141,6 +159,18 @@
     });
   }
 
+  void CheckStandingJobs() {
+    // Faults that last do not end before the others with a calm time between.
+    const bool calm = healed_at_ || options_.calm_s > 0;
+    if (!calm)
+      return;
+    std::vector<batch::WorkerEntry> workers;
+    for (size_t n = 0; n < fleet_.worker_count(); ++n)
+      workers.push_back(fleet_.worker(n));
+    callers_->CheckStandingJobs(workers,
+                                healed_at_ ? *healed_at_ : last_fault_);
+  }
+
   void Disturb(TimePoint now) {
     const auto gap = [this](Duration least, Duration most) {
       return Duration(random_.Between(least.count(), most.count()));
@@ -157,7 +187,9 @@
     }
     while (now >= next_fault_) {
       faults_->InjectOne(now);
-      next_fault_ += gap(kShortestFaultGap, kLongestFaultGap);
+      last_fault_ = now;
+      next_fault_ += Duration(options_.calm_s * 1'000) +
+                     gap(kShortestFaultGap, kLongestFaultGap);
     }
   }
 
@@ -239,6 +271,8 @@
   TimePoint next_surge_;
   TimePoint next_count_;
   TimePoint next_fault_;
+  TimePoint last_fault_;
+  TimePoint next_stand_check_;
   std::optional<TimePoint> healed_at_;
   std::optional<TimePoint> settled_at_;
   std::vector<std::string> violations_;
@@ -267,6 +301,21 @@
       ->check([](const std::string& name) {
         return SoakFaults::IsKind(name) ? "" : "unknown kind: " + name;
       });
+  app.add_option("--nodes", options.nodes, "Entry nodes")
+      ->check(CLI::Range(1, 200));
+  app.add_option("--racks", options.racks,
+                 "Racks of " + std::to_string(kWorkersPerRack) + " workers")
+      ->check(CLI::Range(1, 200));
+  app.add_option("--link-bytes-per-s", options.link_bytes_per_second,
+                 "Bandwidth of each node from the store; 0 for no limit")
+      ->check(CLI::NonNegativeNumber);
+  app.add_option("--payload-bytes", options.payload_bytes,
+                 "Least size of a job's payload")
+      ->check(CLI::Range(0, 4'000));
+  app.add_option("--calm-s", options.calm_s,
+                 "Least time between two faults, in which jobs are checked for "
+                 "standing still; 0 for less than a second")
+      ->check(CLI::NonNegativeNumber);
   app.add_flag("--keep", options.keep, "Keep the logs of good seeds too");
   CLI11_PARSE(app, argc, argv);
   bench::SeedRange seeds;
