Tell the soak's nodes their share of a core

Cause: the settings of each node named half of a core, whatever was asked for, so that no node of a soak counted as small. Change: the share goes into the settings. Measured: seen in n9.yaml of a run with 16 nodes, where it should be 0.12.

--- a/tests/soak/entry_process.cc
+++ b/tests/soak/entry_process.cc
@@ -48,7 +48,8 @@
        << "  readiness: " << address(kReadinessPort)
        << "  metrics_port: " << kMetricsPort
        << "\nstore:\n  address: \"127.0.0.1:" << store_proxy_.port()
-       << "\"\nlimits:\n  max_descriptors: 1024\n  cpu_share: 0.5\n"
+       << "\"\nlimits:\n  max_descriptors: 1024\n  cpu_share: "
+       << options_.cpu_share << "\n"
        << "  stop_grace_s: " << kStopGrace.count() / 1'000
        << "\n  revoke_ms: 5000\n";
   return file.good() ? absl::OkStatus()
