--- a/servers/batch/table_reading.cc
+++ b/servers/batch/table_reading.cc
@@ -26,6 +26,7 @@
 // heartbeats, whose answers share the link.
 constexpr Duration kFastPage{60};
 constexpr Duration kSlowPage{200};
+constexpr int kTellingHalvings = 2;
 
 // First key after `key` in byte order.
 std::string Successor(const std::string& key) {
@@ -226,20 +227,28 @@
     const Duration elapsed = now - sent;
     const Duration transfer = elapsed - content.answer_time;
     if (transfer <= kFastPage) {
+      halvings = 0;
       rows_at_once = std::min(kMostRows, rows_at_once * 2);
       rows_changed_at = now;
       return;
     }
-    if (transfer <= kSlowPage)
+    if (transfer <= kSlowPage) {
+      halvings = 0;
       return;
-    // A smaller page that took about as long as the one before does not wait
-    // for the link: the store has become slower.
-    if (elapsed * 4 > slow_page_time * 3 && slow_page_time > Duration(0)) {
+    }
+    // A page of a quarter that takes about as long does not wait for the link:
+    // the store has become slower. One halving does not tell, since pages of
+    // the former size still share the link.
+    if (halvings >= kTellingHalvings && elapsed * 4 > slow_page_time * 3) {
       content.answer_time = elapsed;
-      slow_page_time = Duration(0);
+      halvings = 0;
       return;
     }
-    slow_page_time = elapsed;
+    if (halvings == 0 || halvings >= kTellingHalvings) {
+      slow_page_time = elapsed;
+      halvings = 0;
+    }
+    ++halvings;
     HalvePageRows(now);
   }
 
@@ -265,7 +274,10 @@
   TableReadingStatistics statistics;
   size_t rows_at_once = kFirstRows;
   TimePoint rows_changed_at;
-  Duration slow_page_time{0};  // Of the page that made pages smaller; 0: none.
+  // Time of the page that made pages smaller, and how often they were halved
+  // since.
+  Duration slow_page_time{0};
+  int halvings = 0;
   TimePoint heard_at;
   TimePoint last_sent;
   bool silent = false;  // A copy was sent and nothing answered since.
