--- a/servers/batch/table_follower.cc
+++ b/servers/batch/table_follower.cc
@@ -53,9 +53,9 @@
         TableReadingOptions{.table = options.table,
                             .partitions = options.partitions,
                             .longest_retry = options.longest_retry},
-        [weak = weak_from_this()](TableContent content) {
+        [weak = weak_from_this()](const TableContent& content) {
           if (const auto self = weak.lock(); self && !self->stopped)
-            self->FinishRead(std::move(content));
+            self->FinishRead(content);
         },
         [weak = weak_from_this()](const absl::Status& status) {
           if (const auto self = weak.lock(); self && !self->stopped)
@@ -65,7 +65,7 @@
     reading->Tick(now);
   }
 
-  void FinishRead(TableContent content) {
+  void FinishRead(const TableContent& content) {
     const TimePoint now = clock.Now();
     interrupted = interrupted || reading->was_interrupted();
     LOG(INFO) << "table " << options.table
--- a/servers/batch/table_reading.cc
+++ b/servers/batch/table_reading.cc
@@ -173,7 +173,7 @@
       stopped = true;
       // The handler may destroy this reading.
       const DoneHandler done = std::move(on_done);
-      done(std::move(content));
+      done(content);
       return;
     }
     if (std::exchange(silent, false))
--- a/servers/batch/table_reading.h
+++ b/servers/batch/table_reading.h
@@ -53,7 +53,7 @@
 
 class TableReading {
  public:
-  using DoneHandler = std::function<void(TableContent)>;
+  using DoneHandler = std::function<void(const TableContent&)>;
   using FailureHandler = std::function<void(const absl::Status&)>;
 
   // `on_done` is called once; `on_failure` for each failed call, which is
