Keep the state of easylogging++ in its own library

Cause: with -O1, scheduling_test, which logs nothing, no longer linked in the tsan preset: easylogging++ refers to its state, and the object of the core that defined it was not taken from the archive (undefined reference to el::base::elStorage). Change: the definition moves into the library of easylogging++.

--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -24,7 +24,9 @@
 target_link_libraries(quetzalshelf_httplib INTERFACE
   PkgConfig::HTTPLIB ssl crypto Threads::Threads)
 
-add_library(quetzalshelf_easylogging STATIC /usr/include/easylogging++.cc)
+add_library(quetzalshelf_easylogging STATIC
+  /usr/include/easylogging++.cc
+  ${CMAKE_CURRENT_LIST_DIR}/easylogging_storage.cc)
 target_compile_definitions(quetzalshelf_easylogging PUBLIC
   ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
 target_compile_features(quetzalshelf_easylogging PUBLIC cxx_std_20)
--- a/core/logging.cc
+++ b/core/logging.cc
@@ -9,8 +9,6 @@
 
 #include <nlohmann/json.hpp>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace quetzalshelf {
 
 namespace {
