Add review case 8: a new leader counts a gang's failed attempt again

The mark that counts a failed attempt of a gang only once is not part of the job's state row. When the leader changes between the ends of two members, the attempt counts twice, and the job is shown as failed too early.

--- a/review/peers-2/executor.h
+++ b/review/peers-2/executor.h
@@ -61,6 +61,8 @@
   static constexpr int64_t kStopMs = 100;
   static constexpr int64_t kCheckpointMs = 500;
   static constexpr int64_t kRestoreMs = 100;
+  // Travel time between executors.
+  static constexpr int64_t kTellMs = 2;
   static constexpr size_t kMaxEnds = 500;
 
   struct Run {
@@ -312,7 +314,7 @@
     ExtendLease(until);
     Tell("start", task, attempt, run.checkpoint);
     reply(200, answer.dump());
-    if (faults.fail_after_ms >= 0)
+    if (faults.fail_after_ms >= 0 && info.gang <= 1)
       EndLater(task, faults.fail_after_ms, "failed");
     if (info.gang > 1)
       JoinGang(task);
@@ -325,6 +327,8 @@
     Run& run = runs_.at(task);
     run.working = true;
     run.began_ms = NowMs();
+    if (faults.fail_after_ms >= 0 && run.info.gang > 1)
+      EndLater(task, faults.fail_after_ms, "failed");
     const int64_t restore = run.saved_work > 0 ? kRestoreMs : 0;
     const int64_t left =
         restore + std::max<int64_t>(1, run.info.work_ms - run.saved_work);
@@ -423,12 +427,14 @@
     });
   }
 
-  // Ends a run; the others of its gang end `broken`.
+  // Ends a run; the others of its gang end `broken` when they hear of it.
   void EndRun(const std::string& task, const std::string& how) {
     const Run run = runs_.at(task);
     Finish(task, how);
-    if (run.info.gang > 1)
-      BreakGang(task, run.attempt);
+    if (run.info.gang <= 1)
+      return;
+    After(kTellMs,
+          [this, task, attempt = run.attempt] { BreakGang(task, attempt); });
   }
 
   void Finish(const std::string& task, const std::string& how) {
