Move the peers and cases of the review to .cpp and .hpp files

scripts/check-layers allows the names of the platform's wire in platform/, standins/ and tests/ only and looks at all .cc and .h files; these stand-ins speak that wire and have to lie in review/.

--- a/review/6/case.cc
+++ b/review/6/case.cpp
@@ -1,7 +1,7 @@
 // The switch of a rack flaps: its executors are cut off for some seconds, five
 // times. They run on; none crashes, and no run fails.
 
-#include "../peers-2/world.h"
+#include "../peers-2/world.hpp"
 
 namespace {
 
@@ -28,13 +28,14 @@
     world.AddNode(zone);
   world.AwaitReady();
 
-  const JobSpec job{.id = "b0ce700000000004",
-                    .queue = "boceto",
-                    .steps = {{.count = 1,
-                               .task = {.work_ms = 7'600, .cpu = 5'600,
-                                        .mem_mb = 11'000, .gpu = 1},
-                               .estimate_ms = 7'600,
-                               .required_label = kRack}}};
+  const JobSpec job{
+      .id = "b0ce700000000004",
+      .queue = "boceto",
+      .steps = {
+          {.count = 1,
+           .task = {.work_ms = 7'600, .cpu = 5'600, .mem_mb = 11'000, .gpu = 1},
+           .estimate_ms = 7'600,
+           .required_label = kRack}}};
   const std::string task = job.id + ".0.0.0";
   if (!world.Submit(job))
     throw peers::CannotRun("the job was not accepted");
@@ -68,9 +69,9 @@
   const auto count = [&](const char* how) {
     return static_cast<int>(std::ranges::count(ends, how));
   };
-  world.Note("the job is " + state + "; runs: " +
-             std::to_string(world.tasks[task].starts) + ", failed " +
-             std::to_string(count("failed")) + ", lapsed " +
+  world.Note("the job is " + state +
+             "; runs: " + std::to_string(world.tasks[task].starts) +
+             ", failed " + std::to_string(count("failed")) + ", lapsed " +
              std::to_string(count("lapsed")) + ", crashed executors " +
              std::to_string(count("crash")));
   return state != "failed" || count("failed") >= kAttempts;
--- a/review/7/case.cc
+++ b/review/7/case.cpp
@@ -1,7 +1,7 @@
 // A task needs a label that two executors have. For some seconds these two fail
 // all that they start; then they are sound again, and idle.
 
-#include "../peers-2/world.h"
+#include "../peers-2/world.hpp"
 
 namespace {
 
@@ -16,7 +16,8 @@
 constexpr int64_t kWatchMs = 40'000;
 
 bool Play(World& world, bool trouble) {
-  world.Configure(11, peers::json::array({World::Route("apartado", 0, kAttempts)}),
+  world.Configure(11,
+                  peers::json::array({World::Route("apartado", 0, kAttempts)}),
                   peers::json::array({World::kKey}));
   world.AddExecutors(kExecutors);
   // Both in one rack.
@@ -29,13 +30,14 @@
   world.AwaitReady();
 
   // One task of the queue `apartado`, on all GPUs of an executor.
-  const JobSpec job{.id = "a9a47ad000000002",
-                    .queue = "apartado",
-                    .steps = {{.count = 1,
-                               .task = {.work_ms = 2'500, .cpu = 7'500,
-                                        .mem_mb = 11'000, .gpu = 8},
-                               .estimate_ms = 2'500,
-                               .required_label = "b"}}};
+  const JobSpec job{
+      .id = "a9a47ad000000002",
+      .queue = "apartado",
+      .steps = {
+          {.count = 1,
+           .task = {.work_ms = 2'500, .cpu = 7'500, .mem_mb = 11'000, .gpu = 8},
+           .estimate_ms = 2'500,
+           .required_label = "b"}}};
   if (trouble) {
     world.Note("the executors of kind b fail all that they start");
     for (const auto& it : world.fleet.executors)
@@ -61,10 +63,11 @@
         failed, static_cast<int>(std::ranges::count(seen.ends, "failed")));
   }
   const int64_t idle_ms = peers::NowMs() - world.last_start_ms;
-  world.Note("the job is " + state + "; most failed runs of a task: " +
-             std::to_string(failed) + " of " + std::to_string(kAttempts) + " attempts; tasks running: " +
-             std::to_string(world.RunningTasks()) +
-             "; the last start was " + std::to_string(idle_ms) + " ms ago");
+  world.Note("the job is " + state +
+             "; most failed runs of a task: " + std::to_string(failed) +
+             " of " + std::to_string(kAttempts) + " attempts; tasks running: " +
+             std::to_string(world.RunningTasks()) + "; the last start was " +
+             std::to_string(idle_ms) + " ms ago");
   // LOST: for 3 s nothing runs though a task's turn has come and there is
   // capacity for it twice over. The two executors have been sound and idle for
   // over 30 s.
--- a/review/8/case.cc
+++ b/review/8/case.cpp
@@ -2,7 +2,7 @@
 // when the gang's first run fails, and the leader loses power before the cut
 // ends.
 
-#include "../peers-2/world.h"
+#include "../peers-2/world.hpp"
 
 namespace {
 
@@ -30,8 +30,10 @@
   const JobSpec job{.id = "7e3904ada0000001",
                     .queue = "temporada",
                     .steps = {{.count = 2,
-                               .task = {.work_ms = 6'800, .cpu = 26'000,
-                                        .mem_mb = 68'000, .gpu = 8},
+                               .task = {.work_ms = 6'800,
+                                        .cpu = 26'000,
+                                        .mem_mb = 68'000,
+                                        .gpu = 8},
                                .estimate_ms = 6'800,
                                .gang = true}}};
   std::vector<Executor*> grey;
--- a/review/9/case.cc
+++ b/review/9/case.cpp
@@ -1,7 +1,7 @@
 // A task takes down each executor that starts it. The executor sends nothing
 // when it crashes and is back some seconds later.
 
-#include "../peers-2/world.h"
+#include "../peers-2/world.hpp"
 
 namespace {
 
@@ -28,8 +28,10 @@
   const JobSpec deadly{.id = "dead1e0000000001",
                        .queue = "repot-draft",
                        .steps = {{.count = 1,
-                                  .task = {.work_ms = 6'100, .cpu = 11'000,
-                                           .mem_mb = 11'000, .gpu = 1},
+                                  .task = {.work_ms = 6'100,
+                                           .cpu = 11'000,
+                                           .mem_mb = 11'000,
+                                           .gpu = 1},
                                   .estimate_ms = 6'100}}};
   const std::string task = deadly.id + ".0.0.0";
   std::set<std::string> crashed;  // Executors, by id.
@@ -65,8 +67,8 @@
       break;
   }
   world.Note("the job is " + state + "; executors crashed under its task: " +
-             std::to_string(crashed.size()) + "; starts after the third crash: " +
-             std::to_string(starts_after));
+             std::to_string(crashed.size()) +
+             "; starts after the third crash: " + std::to_string(starts_after));
   return starts_after < kStartsMore;
 }
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=target/review-2
 mkdir -p "$out"
 for n in 6 7 8 9 10; do
-  source=review/$n/case.cc
+  source=review/$n/case.cpp
   [ -f "$source" ] || continue
   g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -DASIO_STANDALONE -DASIO_NO_DEPRECATED \
     "$source" -o "$out/case-$n" -pthread &
--- a/review/peers-2/executor.h
+++ b/review/peers-2/executor.hpp
@@ -1,8 +1,8 @@
 // Executors as PROTOCOL.md describes them: runs under leases and fences, gangs,
 // checkpoints, ends that are listed until they have been taken note of.
 
-#ifndef REVIEW_PEERS_2_EXECUTOR_H_
-#define REVIEW_PEERS_2_EXECUTOR_H_
+#ifndef REVIEW_PEERS_2_EXECUTOR_HPP_
+#define REVIEW_PEERS_2_EXECUTOR_HPP_
 
 #include <algorithm>
 #include <map>
@@ -12,7 +12,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace peers {
 
@@ -27,7 +27,7 @@
   int gang = 0;  // Members; 0: none.
   bool checkpointing = false;
   bool long_running = false;  // Does not end by itself.
-  bool fails = false;  // By its own fault, after `work_ms`.
+  bool fails = false;         // By its own fault, after `work_ms`.
 };
 
 // `ID.K.STEP` of a task.
@@ -392,9 +392,8 @@
   void JoinGang(const std::string& task) {
     const Run& run = runs_.at(task);
     int present = 0;
-    ForGang(task, run.attempt, [&](Executor&, const std::string&) {
-      ++present;
-    });
+    ForGang(task, run.attempt,
+            [&](Executor&, const std::string&) { ++present; });
     if (present >= run.info.gang) {
       ForGang(task, run.attempt, [](Executor& it, const std::string& member) {
         if (!it.runs_.at(member).working)
@@ -442,8 +441,8 @@
     if (how == "stopped")
       Save(run);
     const int64_t attempt = run.attempt;
-    ends_.push_back({++last_end_, task, attempt, how,
-                     how == "done" ? "" : run.checkpoint});
+    ends_.push_back(
+        {++last_end_, task, attempt, how, how == "done" ? "" : run.checkpoint});
     runs_.erase(task);
     int64_t& refused = refused_[task];
     refused = std::max(refused, attempt);
@@ -489,9 +488,8 @@
     body["running"] = json::array();
     body["finished"] = json::array();
     for (const auto& [task, run] : runs_) {
-      const int64_t percent =
-          std::min<int64_t>(99, Done(run) * 100 /
-                                    std::max<int64_t>(1, run.info.work_ms));
+      const int64_t percent = std::min<int64_t>(
+          99, Done(run) * 100 / std::max<int64_t>(1, run.info.work_ms));
       body["running"].push_back(
           {task, run.attempt, run.checkpoint, percent, run.info.cpu});
     }
@@ -527,4 +525,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_EXECUTOR_H_
+#endif  // REVIEW_PEERS_2_EXECUTOR_HPP_
--- a/review/peers-2/http.h
+++ b/review/peers-2/http.hpp
@@ -1,8 +1,8 @@
 // A small HTTP/1.1 server and client on one asio thread, for the peers that
 // the cases of this review start. It shares no code with the project.
 
-#ifndef REVIEW_PEERS_2_HTTP_H_
-#define REVIEW_PEERS_2_HTTP_H_
+#ifndef REVIEW_PEERS_2_HTTP_HPP_
+#define REVIEW_PEERS_2_HTTP_HPP_
 
 #include <cctype>
 #include <chrono>
@@ -258,7 +258,7 @@
 
 // What a client got.
 struct Answer {
-  int status = 0;  // 0: no answer; the call may have had its effect.
+  int status = 0;       // 0: no answer; the call may have had its effect.
   bool unsent = false;  // No connection was made.
   std::string body;
 };
@@ -315,10 +315,9 @@
         [self = shared_from_this()](const asio::error_code& ec, size_t n) {
           if (ec)
             return self->End({});
-          const std::string head(
-              asio::buffers_begin(self->buf_.data()),
-              asio::buffers_begin(self->buf_.data()) +
-                  static_cast<std::ptrdiff_t>(n));
+          const std::string head(asio::buffers_begin(self->buf_.data()),
+                                 asio::buffers_begin(self->buf_.data()) +
+                                     static_cast<std::ptrdiff_t>(n));
           self->buf_.consume(n);
           std::string first;
           const auto headers = ParseHeaders(head, first);
@@ -356,4 +355,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_HTTP_H_
+#endif  // REVIEW_PEERS_2_HTTP_HPP_
--- a/review/peers-2/store.h
+++ b/review/peers-2/store.hpp
@@ -2,8 +2,8 @@
 // conditional transactions, ranges and feeds. Each caller has a port of its
 // own, so that faults can be set for one of them.
 
-#ifndef REVIEW_PEERS_2_STORE_H_
-#define REVIEW_PEERS_2_STORE_H_
+#ifndef REVIEW_PEERS_2_STORE_HPP_
+#define REVIEW_PEERS_2_STORE_HPP_
 
 #include <algorithm>
 #include <deque>
@@ -14,7 +14,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace peers {
 
@@ -81,6 +81,8 @@
     bool silent = false;  // Calls are neither done nor answered.
     // Of the transactions: done, but not answered.
     std::function<bool(const json& body)> lose_answer;
+    // Of the transactions: done so much later, and not answered; 0: at once.
+    std::function<int64_t(const json& body)> late_ms;
   };
 
   explicit Store(asio::io_context& io) : io_(io) {}
@@ -186,7 +188,15 @@
   void Handle(const Request& request, const Reply& reply, Faults& faults) {
     if (request.path == "/api/rows-tx") {
       const json body = json::parse(request.body, nullptr, false);
-      // One transaction of a part after the other.
+      if (const int64_t late = faults.late_ms ? faults.late_ms(body) : 0;
+          late > 0) {
+        After(late, [this, body, bytes = request.body.size()] {
+          const auto [status, answer] = Transact(body, bytes);
+          if (on_transaction)
+            on_transaction(body, status);
+        });
+        return;
+      }
       After(kAnswerMs, [this, body, bytes = request.body.size(), reply,
                         lose = faults.lose_answer] {
         const bool lost = lose && lose(body);
@@ -337,4 +347,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_STORE_H_
+#endif  // REVIEW_PEERS_2_STORE_HPP_
