Move the peers of the second review into review/6

Only review/6 to review/10 hold the files of the cases, so the peers that they share lie in review/6/peers now.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,7 +1,7 @@
 // An idle executor crashes and starts again under its id. It gets a task right
 // after that, and is cut off a moment later; it runs on.
 
-#include "../peers-2/world.hpp"
+#include "peers/world.hpp"
 
 namespace {
 
--- a/review/peers-2/executor.hpp
+++ b/review/6/peers/executor.hpp
@@ -1,8 +1,8 @@
 // Executors as PROTOCOL.md describes them: runs under leases and fences, gangs,
 // checkpoints, ends that are listed until they have been taken note of.
 
-#ifndef REVIEW_PEERS_2_EXECUTOR_HPP_
-#define REVIEW_PEERS_2_EXECUTOR_HPP_
+#ifndef REVIEW_6_PEERS_EXECUTOR_HPP_
+#define REVIEW_6_PEERS_EXECUTOR_HPP_
 
 #include <algorithm>
 #include <map>
@@ -525,4 +525,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_EXECUTOR_HPP_
+#endif  // REVIEW_6_PEERS_EXECUTOR_HPP_
--- a/review/peers-2/http.hpp
+++ b/review/6/peers/http.hpp
@@ -1,8 +1,8 @@
 // A small HTTP/1.1 server and client on one asio thread, for the peers that
 // the cases of this review start. It shares no code with the project.
 
-#ifndef REVIEW_PEERS_2_HTTP_HPP_
-#define REVIEW_PEERS_2_HTTP_HPP_
+#ifndef REVIEW_6_PEERS_HTTP_HPP_
+#define REVIEW_6_PEERS_HTTP_HPP_
 
 #include <cctype>
 #include <chrono>
@@ -360,4 +360,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_HTTP_HPP_
+#endif  // REVIEW_6_PEERS_HTTP_HPP_
--- a/review/peers-2/store.hpp
+++ b/review/6/peers/store.hpp
@@ -2,8 +2,8 @@
 // conditional transactions, ranges and feeds. Each caller has a port of its
 // own, so that faults can be set for one of them.
 
-#ifndef REVIEW_PEERS_2_STORE_HPP_
-#define REVIEW_PEERS_2_STORE_HPP_
+#ifndef REVIEW_6_PEERS_STORE_HPP_
+#define REVIEW_6_PEERS_STORE_HPP_
 
 #include <algorithm>
 #include <deque>
@@ -347,4 +347,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_STORE_HPP_
+#endif  // REVIEW_6_PEERS_STORE_HPP_
--- a/review/peers-2/world.hpp
+++ b/review/6/peers/world.hpp
@@ -1,8 +1,8 @@
 // A small deployment: entry nodes as processes, a store, executors, an operator
 // and clients, all on loopback addresses.
 
-#ifndef REVIEW_PEERS_2_WORLD_HPP_
-#define REVIEW_PEERS_2_WORLD_HPP_
+#ifndef REVIEW_6_PEERS_WORLD_HPP_
+#define REVIEW_6_PEERS_WORLD_HPP_
 
 #include <fcntl.h>
 #include <signal.h>
@@ -508,4 +508,4 @@
 
 }  // namespace peers
 
-#endif  // REVIEW_PEERS_2_WORLD_HPP_
+#endif  // REVIEW_6_PEERS_WORLD_HPP_
--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,7 +1,7 @@
 // The switch of a rack flaps: its executors are cut off for some seconds, five
 // times. They run on; none crashes, and no run fails.
 
-#include "../peers-2/world.hpp"
+#include "../6/peers/world.hpp"
 
 namespace {
 
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,7 +1,7 @@
 // A task needs a label that two executors have. For some seconds these two fail
 // all that they start; then they are sound again, and idle.
 
-#include "../peers-2/world.hpp"
+#include "../6/peers/world.hpp"
 
 namespace {
 
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -2,7 +2,7 @@
 // when the gang's first run fails, and the leader loses power before the cut
 // ends.
 
-#include "../peers-2/world.hpp"
+#include "../6/peers/world.hpp"
 
 namespace {
 
