--- a/review/6/peers/world.hpp
+++ b/review/6/peers/world.hpp
@@ -417,9 +417,11 @@
   std::string State(const JobSpec& job, size_t node = 0) {
     const Answer answer = Call(nodes[node]->caller_port(), "GET",
                                "/" + job.queue + "/" + job.id, "");
-    if (answer.status != 200)
-      return answer.status ? std::to_string(answer.status) : "no answer";
-    return json::parse(answer.body, nullptr, false).value("state", "?");
+    std::string state = answer.status ? std::to_string(answer.status) : "none";
+    if (answer.status == 200)
+      state = json::parse(answer.body, nullptr, false).value("state", "?");
+    Note("client: GET " + job.id + " at " + nodes[node]->name() + ": " + state);
+    return state;
   }
 
   TaskInfo InfoOf(const std::string& task) const {
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,5 +1,5 @@
 // The two executors of a gang fail all that they start. One of them is cut off
-// when the gang's first run fails, and the leader loses power before the cut
+// when the gang's first run fails, and the leader is killed before the cut
 // ends.
 
 #include "../6/peers/world.hpp"
@@ -75,7 +75,7 @@
     world.Sleep(kKillAfterMs);
     const auto leader = static_cast<size_t>(world.Leader());
     world.nodes[leader]->Kill();
-    world.Note("the leader " + world.nodes[leader]->name() + " loses power");
+    world.Note("the leader " + world.nodes[leader]->name() + " is killed");
     world.After(kDarkMs, [&, leader] { world.nodes[leader]->Start(); });
   }
   std::string state;
