Keep the ports of the nodes in the cases of the review

Fifteen scripts beside each other: 2 of 30 runs could not start a node (exit 2), since another script may take a port before the node listens there.

--- a/review/6/peers/http.hpp
+++ b/review/6/peers/http.hpp
@@ -41,6 +41,23 @@
   throw std::runtime_error("no free port");
 }
 
+// Keeps a port while the process that is to listen there does not.
+class ReservedPort {
+ public:
+  ReservedPort() : socket_(io_), port_(FreePort()) {
+    socket_.open(tcp::v4());
+    socket_.set_option(tcp::socket::reuse_address(true));
+    socket_.bind({asio::ip::make_address("127.0.0.1"),
+                  static_cast<asio::ip::port_type>(port_)});
+  }
+  int number() const { return port_; }
+
+ private:
+  asio::io_context io_;
+  tcp::socket socket_;
+  int port_;
+};
+
 // Milliseconds of the steady clock since the first call.
 inline int64_t NowMs() {
   static const auto kStart = std::chrono::steady_clock::now();
--- a/review/6/peers/world.hpp
+++ b/review/6/peers/world.hpp
@@ -38,16 +38,13 @@
         folder_(std::move(folder)),
         name_(std::move(name)),
         zone_(std::move(zone)),
-        store_port_(store_port),
-        caller_port_(FreePort()),
-        readiness_port_(FreePort()),
-        metrics_port_(FreePort()) {}
+        store_port_(store_port) {}
   ~Node() { Kill(); }
 
   const std::string& name() const { return name_; }
   const std::string& zone() const { return zone_; }
-  int caller_port() const { return caller_port_; }
-  int readiness_port() const { return readiness_port_; }
+  int caller_port() const { return caller_port_.number(); }
+  int readiness_port() const { return readiness_port_.number(); }
   bool started() const { return pid_ > 0; }
 
   void Start() {
@@ -117,9 +114,9 @@
     };
     Replace(text, "node_name", name_);
     Replace(text, "zone", zone_);
-    Replace(text, "listen.frontend", at(caller_port_));
-    Replace(text, "listen.readiness", at(readiness_port_));
-    Replace(text, "port_range.0", std::to_string(metrics_port_));
+    Replace(text, "listen.frontend", at(caller_port_.number()));
+    Replace(text, "listen.readiness", at(readiness_port_.number()));
+    Replace(text, "port_range.0", std::to_string(metrics_port_.number()));
     Replace(text, "platform.addr", at(store_port_));
     Replace(text, "limits.max_fds", "4100");
     Replace(text, "limits.cpu_share", "0.25");
@@ -135,9 +132,9 @@
   const std::string name_;
   const std::string zone_;
   const int store_port_;
-  const int caller_port_;
-  const int readiness_port_;
-  const int metrics_port_;
+  const ReservedPort caller_port_;
+  const ReservedPort readiness_port_;
+  const ReservedPort metrics_port_;
   pid_t pid_ = 0;
 };
 
