Count the longest lease while a start has no answer

The task was started elsewhere while it still ran.

Cause: GrantLease asks for a time on the clock of the process that was heard last and extended leases_end by the length asked for, 2 s for a start. A restarted process has a new clock, far behind, so the lease is longer than the platform's limit there and is shortened to that limit, 6 s.

While a start order has no answer, a lease now counts as the longest one, whatever was asked for. Once the start is confirmed, the clock is that of the process that holds the run, and a later process does not hold it; leases of confirmed runs count as before, so a crash under them is noticed no later. A start, and a renewal to a worker with an unanswered start, is sent only while the leader could grant the longest lease: what a successor counts with covers it. The hand-over of leases follows the same rule.

The model of a worker no longer answers a waiting call while it is silent; this had hidden the first case of the test by 0.75 s.

--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -45,6 +45,7 @@
 void Dispatcher::TickRuns(TimePoint now) {
   for (auto& [id, worker] : registry_.workers()) {
     worker.runs = 0;
+    worker.has_unanswered_start = false;
     worker.assigned.clear();
   }
   for (auto it = live_.begin(); it != live_.end();) {
@@ -61,6 +62,8 @@
             worker.assigned.push_back(id);
             if (IsOrdered(task.run->phase))
               ++worker.runs;
+            if (task.run->IsUnanswered())
+              worker.has_unanswered_start = true;
             TickRun(job, id, task, now);
           }
           has_runs = has_runs || task.run.has_value();
@@ -101,7 +104,9 @@
     return;
   if (run.phase == RunPhase::kStarting && !retired_) {
     if (now - run.phase_since <= kStartTimeout) {
-      if (MaxLease(now) >= kStartLease)
+      // A successor must be able to tell when the run has expired, even if a
+      // restarted process of the worker carries the order out.
+      if (MaxLease(now) >= kLongestLease)
         SendStart(job, id, run, now);
       return;
     }
@@ -127,6 +132,7 @@
   order.epoch = fencing_token_.epoch;
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
+  worker.has_unanswered_start = true;
   order.lease_until_ms = worker.GrantLease(now, kStartLease);
   if (!std::exchange(run.ordered, true))
     run.ordered_at = now;
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -63,7 +63,7 @@
   // be delivered late, so its runs could never be known to have expired.
   const Duration lease = std::min(kLeaseLength, MaxLease(now));
   if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0 &&
-      lease > Duration(0))
+      lease > Duration(0) && worker.LongestEffect(lease) <= MaxLease(now))
     request.lease_until_ms = worker.GrantLease(now, lease);
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
@@ -393,6 +393,7 @@
             << " by the new leader: the worker does not list it";
   run.phase = RunPhase::kStarting;
   run.phase_since = now;
+  run.started_at = TimePoint();
   // Workers refuse orders of the former leader from now on, but a refusal of
   // this order does not prove that the run was never started.
   run.uncertain = true;
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -50,6 +50,8 @@
   TimePoint saved_at;  // When the checkpoint last changed, or the start.
   RunProgress progress;
 
+  // Whether its start was ordered and has not been confirmed.
+  bool IsUnanswered() const { return ordered && started_at == TimePoint(); }
   // When its start was ordered or confirmed.
   TimePoint OrderedAt() const {
     return started_at == TimePoint() ? phase_since : started_at;
--- a/servers/batch/lease_handover.cc
+++ b/servers/batch/lease_handover.cc
@@ -55,8 +55,10 @@
   request.epoch = epoch_;
   // Ends that are not in the store stay listed for the successor.
   request.acknowledged_ends = worker.acknowledged_ends;
-  request.lease_until_ms =
-      worker.GrantLease(now, std::min(kLeaseLength, Duration(limit_ - now)));
+  const Duration left = limit_ - now;
+  const Duration lease = std::min(kLeaseLength, left);
+  if (worker.LongestEffect(lease) <= left)
+    request.lease_until_ms = worker.GrantLease(now, lease);
   worker.sync_in_flight = true;
   worker.next_sync = now + kRenewalInterval;
   port_.Sync(
@@ -84,10 +86,13 @@
     fenced_ = true;
     return;
   }
-  if (reply->result == OrderResult::kDone)
-    worker.ObserveClock(reply->clock_ms, now);
-  else
+  if (reply->result != OrderResult::kDone) {
     worker.next_sync = TimePoint::max();  // Another incarnation has no runs.
+    return;
+  }
+  worker.ObserveClock(reply->clock_ms, now);
+  // Further leases are counted on the clock of the process that holds the runs.
+  worker.has_unanswered_start = false;
 }
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -24,8 +24,8 @@
 }
 
 int64_t Worker::GrantLease(TimePoint now, Duration length) {
-  const auto longest = static_cast<int64_t>(
-      std::ceil(static_cast<double>(length.count()) / kSlowestClock));
+  const auto longest = static_cast<int64_t>(std::ceil(
+      static_cast<double>(LongestEffect(length).count()) / kSlowestClock));
   leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
   return EstimateClock(now) + length.count();
 }
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -4,6 +4,7 @@
 #ifndef SERVERS_BATCH_WORKER_REGISTRY_H_
 #define SERVERS_BATCH_WORKER_REGISTRY_H_
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -23,6 +24,8 @@
 // the start is confirmed; until then it bounds how long a start without an
 // answer can be carried out.
 inline constexpr Duration kStartLease{2'000};
+// Workers shorten longer leases to this length: the platform's limit.
+inline constexpr Duration kLongestLease{6'000};
 // A worker's clock runs at least at this share of the true speed.
 inline constexpr double kSlowestClock = 0.98;
 // Leases end at most this long after the store last confirmed the leader. A
@@ -70,6 +73,8 @@
   TimePoint full_until;  // It had less capacity than known here.
 
   int runs = 0;  // With an order sent; recounted at each tick.
+  // The answer to some start order has not come; recounted at each tick.
+  bool has_unanswered_start = false;
   // Tasks with a run there, as of the last tick.
   std::vector<TaskId> assigned;
   Resources used;  // By all runs and reservations; recounted for a pass.
@@ -82,6 +87,13 @@
   // The end of a lease granted now, on the worker's clock; extends
   // `leases_end` accordingly.
   int64_t GrantLease(TimePoint now, Duration length);
+  // How long a lease granted now can last on the worker's clock. A process that
+  // has restarted unnoticed shortens a lease on its predecessor's clock to the
+  // longest one. Confirmed runs ended with the predecessor, so this matters only
+  // to a start without an answer.
+  Duration LongestEffect(Duration length) const {
+    return has_unanswered_start ? std::max(length, kLongestLease) : length;
+  }
   void ObserveClock(int64_t clock, TimePoint now);
   // Resets the state for a new incarnation, whose end numbers start again.
   void ResetForIncarnation(int64_t incarnation_start_wall_ms);
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -175,7 +175,11 @@
     const auto answer = [this, id, done, answered] {
       if (std::exchange(*answered, true))
         return;
-      if (workers_[id].down)
+      const ModelWorker& now_here = workers_[id];
+      // A process without power breaks no connection.
+      if (now_here.faults.silent)
+        done(absl::DeadlineExceededError("no answer"));
+      else if (now_here.down)
         done(absl::UnknownError("the connection broke"));
       else
         done(Snapshot(workers_[id]));
--- /dev/null
+++ b/tests/batch/restarted_worker_test.cc
@@ -0,0 +1,150 @@
+// Tests of workers whose process restarts under the same id, so that their
+// clock starts anew, before the leader knows of it.
+
+#include <doctest/doctest.h>
+
+#include <utility>
+#include <vector>
+
+#include "servers/batch/lease_handover.h"
+#include "tests/batch/batch_fixture.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+constexpr char kJob[] = "00000000000000e1";
+// Far longer than any lease, so that a lease on the clock of the former process
+// exceeds the limit on the new one.
+constexpr Duration kFormerLife{30'000};
+
+void RestartUnnoticed(LeaderFixture& fixture, const WorkerId& worker) {
+  fixture.workers.Restart(worker, 2);
+}
+
+// Runs until a worker holds the first task of the job.
+WorkerId AwaitHolder(LeaderFixture& fixture, const char* job) {
+  for (int n = 0; n < 100 && !fixture.workers.IsRunning(Task(job, 0)); ++n)
+    fixture.Run(Duration(10));
+  REQUIRE(fixture.workers.IsRunning(Task(job, 0)));
+  return fixture.workers.HolderOf(Task(job, 0));
+}
+
+}  // namespace
+
+// Guards against a task that runs twice because its worker, restarted with a
+// new clock, grants itself a longer lease than the leader counts with.
+TEST_CASE("A task started on a restarted worker does not run twice") {
+  LeaderFixture fixture(1, 2);
+  fixture.run_time = Duration(20'000);
+  fixture.Run(kFormerLife);
+  SUBCASE("cut off after the answer to the start") {}
+  SUBCASE("cut off before the answer to the start") {
+    for (const WorkerEntry& it : fixture.listed) {
+      fixture.workers.faults(it.id).late_orders = 1;
+      fixture.workers.faults(it.id).lateness = Duration(2);
+    }
+  }
+  for (const WorkerEntry& it : fixture.listed)
+    RestartUnnoticed(fixture, it.id);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  const WorkerId holder = AwaitHolder(fixture, kJob);
+  fixture.workers.faults(holder).silent = true;
+  fixture.Run(Duration(10'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against a hand-over that prolongs a lease beyond what the successor
+// counts with, on a worker whose restarted process may hold a run.
+TEST_CASE("A hand-over renews no unanswered start beyond its limit") {
+  struct RecordingWorkers : WorkerPort {
+    void Start(const WorkerEntry&,
+               const StartOrder&,
+               Duration,
+               OrderCallback) override {}
+    void Stop(const WorkerEntry&,
+              const StopOrder&,
+              Duration,
+              OrderCallback) override {}
+    void Sync(const WorkerEntry&,
+              const SyncRequest& request,
+              Duration,
+              SyncCallback done) override {
+      leases.push_back(request.lease_until_ms.has_value());
+      answer = std::move(done);
+    }
+    std::vector<bool> leases;
+    SyncCallback answer;
+  };
+  RecordingWorkers port;
+  ManualTaskRunner runner;
+  Worker worker;
+  worker.ObserveClock(100'000, runner.Now());
+  worker.has_unanswered_start = true;
+  Duration left = kLongestLease - Duration(1);
+  bool renews = false;
+  SUBCASE("less than the longest lease is left") {}
+  SUBCASE("the longest lease is left") {
+    left = kLongestLease;
+    renews = true;
+  }
+  LeaseHandover handover(port, runner, Epoch(2), {worker}, runner.Now() + left);
+  handover.Tick(runner.Now());
+  REQUIRE(port.leases.size() == 1);
+  CHECK(port.leases.back() == renews);
+  // The answer shows the clock of the process that may hold the run.
+  port.answer(SyncReply{.clock_ms = 50});
+  runner.Advance(Duration(2'000));
+  handover.Tick(runner.Now());
+  REQUIRE(port.leases.size() == 2);
+  CHECK(port.leases.back());
+}
+
+// Guards against a successor that takes a run for expired although a restarted
+// worker carried out the last order of the former leader.
+TEST_CASE("A successor waits for a lease that a restarted worker prolonged") {
+  LeaderFixture fixture(1, 2);
+  fixture.run_time = Duration(60'000);
+  fixture.Run(kFormerLife);
+  for (const WorkerEntry& it : fixture.listed) {
+    RestartUnnoticed(fixture, it.id);
+    fixture.workers.faults(it.id).late_orders = 1;
+    fixture.workers.faults(it.id).lateness = Duration(2);
+  }
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  const WorkerId holder = AwaitHolder(fixture, kJob);
+  bool planned = false;
+  SUBCASE("killed") {}
+  SUBCASE("resigned") {
+    planned = true;
+  }
+  if (planned)
+    fixture.Resign(0);
+  fixture.Run(Duration(20));
+  fixture.workers.faults(holder).silent = true;
+  if (!planned)
+    fixture.Kill(0);
+  fixture.AddNode("n2");
+  fixture.Run(Duration(20'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against a bound on a lease that presumes the clock of a process that
+// may have ended.
+TEST_CASE("A lease counts as the longest one while a start has no answer") {
+  Worker worker;
+  worker.ObserveClock(100'000, FromMillis(1'000));
+  CHECK(worker.LongestEffect(kStartLease) == kStartLease);
+  worker.has_unanswered_start = true;
+  CHECK(worker.LongestEffect(kStartLease) == kLongestLease);
+  CHECK(worker.LongestEffect(kLeaseLength) == kLongestLease);
+  worker.GrantLease(FromMillis(2'000), kStartLease);
+  // A new clock at 0.98 of the true speed shows the longest lease's end.
+  const double passes =
+      2'000 + static_cast<double>(kLongestLease.count()) / 0.98;
+  CHECK(static_cast<double>(ToMillis(worker.leases_end)) >= passes);
+}
+
+}  // namespace quetzalshelf::batch
