Count a crash only when another process of the worker is seen

Cause: a broken connection was taken for the end of the worker's process, and points were given when the leases had expired; nothing took them back when the same process answered. Silence gave no point, and nothing gave one later when another process came.

A run that is lost with its leases is an unclear loss now, kept in the state row with the worker and its process. The same process answering drops it; another process, or none for 10 s while the list of workers is current, makes it a crash. A task that would be given up if all its unclear losses were crashes waits until they are settled, so that the bound on starts holds however late a crash shows. A crash under a start without an answer is weak evidence. A restart that the clock shows counts once, an entry of a former process is no restart, and a late list of runs of a known process is none either.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -18,10 +18,6 @@
 // Short because all jobs wait for these feeds; only the leader's few feeds
 // retry this often.
 constexpr Duration kMaxFeedRetryDelay{150};
-// Tasks start only while the list of workers, the evacuated failure domains and
-// the jobs are no older than this: an older view may miss a worker or a domain
-// that is leaving.
-constexpr Duration kMaxViewAge{1'800};
 // Workers that answer tell of the runs of a former leader within some 0.3 s of
 // a change of leader. Half of the time for which the former leader's report is
 // told.
@@ -123,6 +119,7 @@
     TickWorker(worker, now);
   contacts_.Refill(registry_.workers(), now);
   ContactWorkers(now);
+  SettleOldLosses(now);
   Pump(now);
   if (now >= next_cleanup_) {
     next_cleanup_ = now + kCleanupPeriod;
@@ -280,6 +277,10 @@
   jobs_.emplace(id, std::move(job));
   live_.insert(id);
   pass_due_ = true;
+  added.ForEachTask([&](const TaskId& task_id, const TaskProgress& task) {
+    for (const UnclearLoss& it : task.unclear_losses)
+      unclear_losses_[it.worker].insert(task_id);
+  });
   if (cancelled_.contains(id))
     CancelJob(added, now);
   // The stop orders of a former leader may have been lost with it.
@@ -420,7 +421,14 @@
   if (known &&
       known->entry.incarnation_start_wall_ms != entry.incarnation_start_wall_ms)
     speeds_.Forget(entry.id);
-  registry_.Update(entry, now);
+  const Worker& worker = registry_.Update(entry, now);
+  // An entry may be older than the process that it names; only a new process
+  // tells something of the former one.
+  const int64_t known_start = worker.entry.incarnation_start_wall_ms;
+  SettleLosses(entry.id, /*has_crashed=*/true, now, [&](const UnclearLoss& it) {
+    return it.incarnation_start_wall_ms != 0 &&
+           known_start > it.incarnation_start_wall_ms;
+  });
 }
 
 void Dispatcher::OnWorkerUnlisted(const WorkerId& id) {
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -34,6 +34,11 @@
 
 namespace quetzalshelf::batch {
 
+// Tasks start only while the list of workers, the evacuated failure domains and
+// the jobs are no older than this: an older view may miss a worker or a domain
+// that is leaving.
+inline constexpr Duration kMaxViewAge{1'800};
+
 struct DispatcherOptions {
   // Syncs that may wait for an end at the same time; each holds a connection.
   // Workers beyond it are synced without waiting, so that their orders always
@@ -172,6 +177,12 @@
                    const TaskId& id,
                    Attempt attempt,
                    const char* why);
+  // Logs that a worker crashed under a task and isolates its next start.
+  void RecordCrash(Job& job,
+                   const TaskId& id,
+                   const WorkerId& worker,
+                   CrashEvidence evidence,
+                   TimePoint now);
   Run* FindRun(const TaskId& id, Attempt attempt, const WorkerId& worker);
 
   // dispatcher_sync.cc: runs and ends that workers report.
@@ -203,6 +214,17 @@
                  const SyncReply& reply,
                  uint64_t sent_event,
                  TimePoint now);
+  // Settles the unclear losses on a worker of which this process is known to be
+  // alive: those under another process were crashes.
+  void SettleLossesOf(const WorkerId& id,
+                      int64_t incarnation_start_wall_ms,
+                      TimePoint now);
+  void SettleLosses(const WorkerId& id,
+                    bool has_crashed,
+                    TimePoint now,
+                    const std::function<bool(const UnclearLoss&)>& is_settled);
+  // Settles the losses on workers that have not been heard for long.
+  void SettleOldLosses(TimePoint now);
   static bool NeverStarted(const Job& job, const Worker& worker);
   // Resends the start order of a recovered run in the same attempt.
   void ResendStart(const TaskId& id, Run& run, TimePoint now);
@@ -303,6 +325,9 @@
   std::set<TaskId> due_runs_;           // Tasks whose next order is due.
   std::set<WorkerId> due_workers_;      // Workers to sync.
   std::set<WorkerId> awaiting_record_;  // Workers with unrecorded ends.
+  // Tasks with unclear losses on each worker.
+  std::map<WorkerId, std::set<TaskId>> unclear_losses_;
+  TimePoint missing_since_;  // The list of workers has been current since then.
   bool pass_due_ = true;
   TimePoint last_pass_;
   TimePoint next_cleanup_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -403,6 +403,7 @@
                      reply->result == OrderResult::kSuperseded);
   if (!confirmed) {
     if (reply.ok() && reply->result == OrderResult::kOtherIncarnation) {
+      worker.has_ended = true;
       MarkRunLost(*FindJob(id.job), id, attempt,
                   "another incarnation of the worker answered");
       return;
@@ -426,22 +427,20 @@
   if (!task || !task->run)
     return;
   const Worker& worker = registry_.FindOrAdd(task->run->worker, now);
-  const CrashEvidence evidence = worker.JudgeLoss(*task->run);
-  if (!job.ApplyLoss(id, attempt, evidence))
+  const LostRun loss = worker.JudgeLoss(*task->run, now);
+  if (!job.ApplyLoss(id, attempt, loss, now))
     return;
   losses_.Add();
+  const bool is_unclear =
+      loss.evidence != CrashEvidence::kNone && !loss.has_crashed;
   LOG(INFO) << "task " << ToString(id) << " attempt=" << attempt
-            << " lost its run: " << why;
-  if (evidence != CrashEvidence::kNone) {
-    crashes_.Add();
-    job.FindStep(id)->crashed_at = now;
-    LOG(WARNING) << "worker " << worker.entry.id << " crashed under task "
-                 << ToString(id) << " attempt=" << attempt
-                 << ": soon_after_start="
-                 << (evidence == CrashEvidence::kStrong)
-                 << " crash_points=" << task->crash_points
-                 << " job=" << ToString(job.phase());
-  }
+            << " lost its run: " << why << ": worker=" << worker.entry.id
+            << " silent_ms=" << (now - worker.heard_at).count()
+            << " may_have_crashed=" << is_unclear;
+  if (is_unclear)
+    unclear_losses_[worker.entry.id].insert(id);
+  else if (loss.has_crashed)
+    RecordCrash(job, id, worker.entry.id, loss.evidence, now);
   // The other members of a gang cannot continue without it.
   if (job.spec(id.step).gang)
     StopStep(job, id, now, "a member of the gang was lost");
@@ -450,4 +449,19 @@
   MarkChanged(job);
 }
 
+void Dispatcher::RecordCrash(Job& job,
+                             const TaskId& id,
+                             const WorkerId& worker,
+                             CrashEvidence evidence,
+                             TimePoint now) {
+  crashes_.Add();
+  job.FindStep(id)->crashed_at = now;
+  const TaskProgress& task = *job.Find(id);
+  LOG(WARNING) << "worker " << worker << " crashed under task " << ToString(id)
+               << ": attempts=" << task.attempt
+               << " soon_after_start=" << (evidence == CrashEvidence::kStrong)
+               << " crash_points=" << task.crash_points
+               << " job=" << ToString(job.phase());
+}
+
 }  // namespace quetzalshelf::batch
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -273,6 +273,9 @@
           if (task.done || task.run)
             continue;
           unit.suspect = unit.suspect || task.is_suspect();
+          // A gang without this task is not whole and waits as well.
+          if (Job::AwaitsUnclearLosses(task))
+            continue;
           if (task.is_suspect() && !unit.spec->gang)
             suspects.push_back(static_cast<int>(n));
           else
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -28,6 +28,9 @@
 constexpr int kStopTimeWeight = 8;
 // The wall clocks of workers and VMs differ by less than this.
 constexpr Duration kWallClockMargin{2'000};
+// A worker that is neither listed nor heard for so long after its leases have
+// expired has crashed. Longer than a restart takes, and than most cuts.
+constexpr Duration kMissingWorkerLimit{10'000};
 // Stalled tasks on a healthy worker usually resume within this time.
 constexpr Duration kTypicalStall{3'000};
 
@@ -106,10 +109,10 @@
                    << (reply.ok() ? "it refused"
                                   : std::string(reply.status().message()));
     }
-    const bool broke = absl::IsUnknown(reply.status());
-    const bool replaced =
-        reply.ok() && reply->result == OrderResult::kOtherIncarnation;
-    worker.has_ended = worker.has_ended || broke || replaced;
+    // Another worker has its address, so its process has ended. A connection
+    // that breaks or is refused may be the network's doing.
+    if (reply.ok() && reply->result == OrderResult::kOtherIncarnation)
+      worker.has_ended = true;
     worker.next_sync = now + kSyncRetryInterval;
     return;
   }
@@ -120,18 +123,25 @@
   const bool news = !worker.synced || worker.sync_failures > 0;
   worker.synced = true;
   worker.sync_failures = 0;
-  const bool restarted = reply->incarnation_start_wall_ms != 0 &&
-                         worker.entry.incarnation_start_wall_ms != 0 &&
-                         reply->incarnation_start_wall_ms !=
-                             worker.entry.incarnation_start_wall_ms;
+  const bool knows_incarnation = reply->incarnation_start_wall_ms != 0 &&
+                                 worker.entry.incarnation_start_wall_ms != 0;
+  const bool restarted =
+      knows_incarnation && reply->incarnation_start_wall_ms !=
+                               worker.entry.incarnation_start_wall_ms;
   if (restarted) {
     LOG(INFO) << "worker " << id << " has a new incarnation";
     worker.ResetForIncarnation(reply->incarnation_start_wall_ms);
     speeds_.Forget(id);
   }
-  worker.ObserveClock(reply->clock_ms, now);
+  if (knows_incarnation)
+    worker.SetClock(reply->clock_ms, now);
+  else
+    worker.ObserveClock(reply->clock_ms, now);
+  if (reply->incarnation_start_wall_ms != 0)
+    worker.entry.incarnation_start_wall_ms = reply->incarnation_start_wall_ms;
   ApplyEnds(worker, *reply, now);
   ApplyRuns(worker, *reply, sent_event, now);
+  SettleLossesOf(id, reply->incarnation_start_wall_ms, now);
   // Runs of a former incarnation are lost by now.
   worker.RecordAnswer(now);
   RecordEnds(worker);
@@ -378,6 +388,78 @@
   }
 }
 
+void Dispatcher::SettleLossesOf(const WorkerId& id,
+                                int64_t incarnation_start_wall_ms,
+                                TimePoint now) {
+  if (incarnation_start_wall_ms == 0 || !unclear_losses_.contains(id))
+    return;
+  SettleLosses(id, /*has_crashed=*/false, now, [&](const UnclearLoss& it) {
+    return it.incarnation_start_wall_ms == 0 ||
+           it.incarnation_start_wall_ms == incarnation_start_wall_ms;
+  });
+  SettleLosses(id, /*has_crashed=*/true, now,
+               [](const UnclearLoss&) { return true; });
+}
+
+void Dispatcher::SettleLosses(
+    const WorkerId& id,
+    bool has_crashed,
+    TimePoint now,
+    const std::function<bool(const UnclearLoss&)>& is_settled) {
+  const auto entry = unclear_losses_.find(id);
+  if (entry == unclear_losses_.end())
+    return;
+  // A copy, since a job that fails now stops its other runs.
+  for (const TaskId& task : std::set<TaskId>(entry->second)) {
+    Job* const job = FindJob(task.job);
+    const auto evidence =
+        job ? job->SettleLosses(task, has_crashed,
+                                [&](const UnclearLoss& it) {
+                                  return it.worker == id && is_settled(it);
+                                })
+            : std::nullopt;
+    if (!evidence)
+      continue;
+    if (has_crashed) {
+      RecordCrash(*job, task, id, *evidence, now);
+    } else {
+      LOG(INFO) << "worker " << id << " was only out of reach when task "
+                << ToString(task) << " lost its run there";
+    }
+    if (job->IsFinal())
+      StopUnfinished(*job, now, "the job is over");
+    MarkChanged(*job);
+  }
+  std::erase_if(entry->second, [&](const TaskId& it) {
+    const Job* const job = FindJob(it.job);
+    const TaskProgress* const task = job ? job->Find(it) : nullptr;
+    return !task ||
+           std::ranges::find(task->unclear_losses, id, &UnclearLoss::worker) ==
+               task->unclear_losses.end();
+  });
+  if (entry->second.empty())
+    unclear_losses_.erase(entry);
+}
+
+void Dispatcher::SettleOldLosses(TimePoint now) {
+  if (now - workers_confirmed_at_ > kMaxViewAge) {
+    // Entries may be missing because the store was away.
+    missing_since_ = now;
+    return;
+  }
+  std::set<WorkerId> ids;
+  for (const auto& [id, tasks] : unclear_losses_)
+    ids.insert(id);
+  for (const WorkerId& id : ids) {
+    // An entry that is still listed is renewed by the process that it names.
+    const Worker* const worker = registry_.Find(id);
+    const bool is_missing = !worker || !worker->listed;
+    SettleLosses(id, is_missing, now, [&](const UnclearLoss& it) {
+      return now - std::max(it.noted_at, missing_since_) >= kMissingWorkerLimit;
+    });
+  }
+}
+
 // Whether a recovered run that the worker lists neither as running nor as ended
 // was never started there: the incarnation of the worker began before the job
 // was accepted.
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -36,6 +36,11 @@
   return 0;
 }
 
+CrashEvidence EvidenceOf(int crash_points) {
+  return crash_points >= kStrongCrashPoints ? CrashEvidence::kStrong
+                                            : CrashEvidence::kWeak;
+}
+
 // Columns of a task in a state row; tasks without any progress are omitted.
 enum TaskColumn {
   kOccurrence,
@@ -47,9 +52,14 @@
   kCheckpoint,
   kWorker,  // Empty when the task has no run.
   kTaskColumns,
-  kCrashPoints = kTaskColumns  // Left out when there are none.
+  // Left out when there are none.
+  kCrashPoints = kTaskColumns,
+  kUnclearLosses
 };
 
+// Columns of an unclear loss.
+enum LossColumn { kLossWorker, kLossIncarnation, kLossPoints, kLossColumns };
+
 bool HasProgress(const TaskProgress& task) {
   return task.done || task.attempt.value() > 0;
 }
@@ -70,6 +80,34 @@
          row[kCheckpoint].is_string() && row[kWorker].is_string();
 }
 
+json EncodeLosses(const std::vector<UnclearLoss>& losses) {
+  json rows = json::array();
+  for (const UnclearLoss& it : losses) {
+    rows.push_back({it.worker.value(), it.incarnation_start_wall_ms,
+                    CrashPoints(it.evidence)});
+  }
+  return rows;
+}
+
+// Leaves out what cannot be read: a loss that is not known gives no points.
+std::vector<UnclearLoss> DecodeLosses(const json& rows, TimePoint now) {
+  std::vector<UnclearLoss> losses;
+  for (const json& row : rows) {
+    const bool readable = row.is_array() && row.size() >= kLossColumns &&
+                          row[kLossWorker].is_string() &&
+                          row[kLossIncarnation].is_number() &&
+                          row[kLossPoints].is_number();
+    if (!readable) {
+      LOG(WARNING) << "a lost run in a state row cannot be read";
+      continue;
+    }
+    losses.push_back({WorkerId(row[kLossWorker].get<std::string>()),
+                      row[kLossIncarnation].get<int64_t>(),
+                      EvidenceOf(row[kLossPoints].get<int>()), now});
+  }
+  return losses;
+}
+
 }  // namespace
 
 std::optional<StateSummary> DecodeStateSummary(const std::string& value) {
@@ -212,16 +250,58 @@
   return true;
 }
 
-bool Job::ApplyLoss(const TaskId& id, Attempt attempt, CrashEvidence evidence) {
+bool Job::ApplyLoss(const TaskId& id,
+                    Attempt attempt,
+                    const LostRun& loss,
+                    TimePoint now) {
   TaskProgress* const task = Find(id);
   if (!task || !task->run || task->run->attempt != attempt)
     return false;
+  if (loss.has_crashed) {
+    task->crash_points += CrashPoints(loss.evidence);
+  } else if (loss.evidence != CrashEvidence::kNone) {
+    task->unclear_losses.push_back({task->run->worker,
+                                    loss.incarnation_start_wall_ms,
+                                    loss.evidence, now});
+  }
   task->run.reset();
-  task->crash_points += CrashPoints(evidence);
   KeepFinalPhase();
   return true;
 }
 
+bool Job::AwaitsUnclearLosses(const TaskProgress& task) {
+  if (task.unclear_losses.empty())
+    return false;
+  int points = task.crash_points;
+  for (const UnclearLoss& it : task.unclear_losses)
+    points += CrashPoints(it.evidence);
+  return points >= kFatalCrashPoints;
+}
+
+std::optional<CrashEvidence> Job::SettleLosses(
+    const TaskId& id,
+    bool has_crashed,
+    const std::function<bool(const UnclearLoss&)>& is_settled) {
+  TaskProgress* const task = Find(id);
+  if (!task)
+    return std::nullopt;
+  CrashEvidence added = CrashEvidence::kNone;
+  const auto settled =
+      std::erase_if(task->unclear_losses, [&](const UnclearLoss& it) {
+        if (!is_settled(it))
+          return false;
+        if (has_crashed) {
+          task->crash_points += CrashPoints(it.evidence);
+          added = std::max(added, it.evidence);
+        }
+        return true;
+      });
+  if (settled == 0)
+    return std::nullopt;
+  KeepFinalPhase();
+  return added;
+}
+
 void Job::SaveCheckpoint(const TaskId& id,
                          const std::string& checkpoint,
                          TimePoint now) {
@@ -367,8 +447,10 @@
                 task.failures,
                 task.checkpoint,
                 task.run ? task.run->worker.value() : ""};
-    if (task.crash_points > 0)
+    if (task.crash_points > 0 || !task.unclear_losses.empty())
       row.push_back(task.crash_points);
+    if (!task.unclear_losses.empty())
+      row.push_back(EncodeLosses(task.unclear_losses));
     tasks.push_back(std::move(row));
   });
   const json body = {{"workspace", record_.workspace.value()},
@@ -405,6 +487,8 @@
     task->checkpoint = row[kCheckpoint].get<std::string>();
     if (row.size() > kCrashPoints && row[kCrashPoints].is_number())
       task->crash_points = row[kCrashPoints].get<int>();
+    if (row.size() > kUnclearLosses && row[kUnclearLosses].is_array())
+      task->unclear_losses = DecodeLosses(row[kUnclearLosses], now);
     const WorkerId worker(row[kWorker].get<std::string>());
     if (!worker.empty()) {
       task->run = Run{.worker = worker,
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -58,13 +58,31 @@
   }
 };
 
-// What the end of a worker's process says of a task that it ran.
+// What the crash of a worker says of a task that it ran.
 enum class CrashEvidence {
-  kNone,    // The worker may only have been out of reach.
-  kWeak,    // The worker had run the task for a while.
+  kNone,    // The task has nothing to do with it.
+  kWeak,    // The task had run for a while, or may not have been started.
   kStrong,  // The worker was not heard again after it had started the task.
 };
 
+// A run that was lost with its worker.
+struct LostRun {
+  // What a crash says of the task.
+  CrashEvidence evidence = CrashEvidence::kNone;
+  // The worker has crashed. Otherwise it may only have been out of reach.
+  bool has_crashed = false;
+  // Of the worker's process that held the run; 0 if unknown.
+  int64_t incarnation_start_wall_ms = 0;
+};
+
+// A loss that counts once the worker turns out to have crashed.
+struct UnclearLoss {
+  WorkerId worker;
+  int64_t incarnation_start_wall_ms = 0;  // Of the process that held the run.
+  CrashEvidence evidence = CrashEvidence::kNone;
+  TimePoint noted_at;  // By this leader.
+};
+
 // A task with so many points starts only where nothing else has just started,
 // so that a further crash tells who is at fault.
 inline constexpr int kSuspectCrashPoints = 2;
@@ -77,6 +95,8 @@
   int failures = 0;
   // Points for workers that have crashed under it.
   int crash_points = 0;
+  // Of workers that have not been heard since; they give no points yet.
+  std::vector<UnclearLoss> unclear_losses;
   std::string checkpoint;
   std::optional<Run> run;
   std::set<WorkerId> failed_on;
@@ -141,6 +161,8 @@
   TaskProgress* Find(const TaskId& task);
   const TaskProgress* Find(const TaskId& task) const;
   StepProgress* FindStep(const TaskId& task);
+  void ForEachTask(const std::function<void(const TaskId&,
+                                            const TaskProgress&)>& visit) const;
 
   // Whether all steps that `step` depends on are done.
   bool DependenciesDone(const OccurrenceProgress& occurrence, int step) const;
@@ -161,7 +183,18 @@
   // task under which workers crash again and again fails its job.
   bool ApplyLoss(const TaskId& task,
                  Attempt attempt,
-                 CrashEvidence evidence = CrashEvidence::kNone);
+                 const LostRun& loss = {},
+                 TimePoint now = {});
+  // Whether a task that may be at fault must wait: it would have failed its job
+  // if all its unclear losses were crashes.
+  static bool AwaitsUnclearLosses(const TaskProgress& task);
+  // Settles the unclear losses that `is_settled` selects: those with
+  // `has_crashed` give points. Returns the evidence that was added, kNone also
+  // when nothing crashed; nullopt when none was selected.
+  std::optional<CrashEvidence> SettleLosses(
+      const TaskId& task,
+      bool has_crashed,
+      const std::function<bool(const UnclearLoss&)>& is_settled);
   void SaveCheckpoint(const TaskId& task,
                       const std::string& checkpoint,
                       TimePoint now);
@@ -201,8 +234,6 @@
   TimePoint final_since;
 
  private:
-  void ForEachTask(const std::function<void(const TaskId&,
-                                            const TaskProgress&)>& visit) const;
   // nullopt while the job goes on.
   std::optional<JobPhase> FindFinalPhase() const;
   bool HasFailed() const;
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -34,8 +34,14 @@
   if (has_clock && clock + kClockFallbackMs < EstimateClock(now)) {
     LOG(INFO) << "clock of worker " << entry.id
               << " went backwards, treated as a new incarnation";
-    ResetForIncarnation(entry.incarnation_start_wall_ms);
+    // Its next list of runs or its entry tells when it started, and must not
+    // look like a further restart.
+    ResetForIncarnation(0);
   }
+  SetClock(clock, now);
+}
+
+void Worker::SetClock(int64_t clock, TimePoint now) {
   has_clock = true;
   clock_ms = clock;
   clock_at = now;
@@ -62,11 +68,18 @@
   return run.ordered && heard_at >= run.ordered_at + kCrashWindow;
 }
 
-CrashEvidence Worker::JudgeLoss(const Run& run) const {
-  const bool received = run.started_at != TimePoint() || run.uncertain;
-  if (!has_ended || entry.draining || !run.ordered || !received)
-    return CrashEvidence::kNone;
-  return HasSurvivedStart(run) ? CrashEvidence::kWeak : CrashEvidence::kStrong;
+LostRun Worker::JudgeLoss(const Run& run, TimePoint now) const {
+  const bool confirmed = run.started_at != TimePoint();
+  const bool received = run.ordered && (confirmed || run.uncertain);
+  // A worker that has not been heard for as long as its leases last may have
+  // crashed; one that answers and does not know the run has not.
+  const bool may_have_crashed = has_ended || now > leases_end;
+  if (!may_have_crashed || entry.draining || !received)
+    return {};
+  const bool at_start = confirmed && !HasSurvivedStart(run);
+  return {.evidence = at_start ? CrashEvidence::kStrong : CrashEvidence::kWeak,
+          .has_crashed = has_ended,
+          .incarnation_start_wall_ms = entry.incarnation_start_wall_ms};
 }
 
 void Worker::RecordUnreachable() {
@@ -87,7 +100,7 @@
   const bool reborn =
       known && entry.incarnation_start_wall_ms != 0 &&
       worker.entry.incarnation_start_wall_ms != 0 &&
-      entry.incarnation_start_wall_ms != worker.entry.incarnation_start_wall_ms;
+      entry.incarnation_start_wall_ms > worker.entry.incarnation_start_wall_ms;
   if (!worker.listed || worker.entry.draining != entry.draining || reborn) {
     LOG(INFO) << "worker " << entry.id << " listed: domain=" << entry.domain
               << " rack=" << entry.rack << " draining=" << entry.draining
@@ -96,8 +109,12 @@
   // Later entries repeat the notice; the first one counts.
   if (entry.draining && (!worker.entry.draining || reborn))
     worker.leaves_at = now + entry.remaining;
+  const int64_t known_start = worker.entry.incarnation_start_wall_ms;
   worker.entry = entry;
   worker.listed = true;
+  // An entry that does not say so, or tells of a former process.
+  if (!reborn && known_start != 0)
+    worker.entry.incarnation_start_wall_ms = known_start;
   if (reborn)
     worker.ResetForIncarnation(entry.incarnation_start_wall_ms);
   return worker;
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -49,8 +49,8 @@
   TimePoint leases_end;
 
   TimePoint heard_at;  // Its last answer.
-  // Since then a connection to it broke or another incarnation has come, so
-  // that its process is likely to have ended.
+  // Since then another incarnation has come, so that the process that answered
+  // has ended. A broken connection does not show this.
   bool has_ended = false;
 
   bool sync_in_flight = false;
@@ -89,13 +89,19 @@
   int64_t GrantLease(TimePoint now, Duration length);
   // How long a lease granted now can last on the worker's clock. A process that
   // has restarted unnoticed shortens a lease on its predecessor's clock to the
-  // longest one. Confirmed runs ended with the predecessor, so this matters only
-  // to a start without an answer.
+  // longest one. Confirmed runs ended with the predecessor, so this matters
+  // only to a start without an answer.
   Duration LongestEffect(Duration length) const {
     return has_unanswered_start ? std::max(length, kLongestLease) : length;
   }
+  // Takes over the clock of an answer. One that falls back belongs to a new
+  // incarnation.
   void ObserveClock(int64_t clock, TimePoint now);
-  // Resets the state for a new incarnation, whose end numbers start again.
+  // The same for an answer that is known to come from the present incarnation,
+  // though it may be late.
+  void SetClock(int64_t clock, TimePoint now);
+  // Resets the state for a new incarnation, whose end numbers start again. 0
+  // when its start is not known yet.
   void ResetForIncarnation(int64_t incarnation_start_wall_ms);
 
   void RecordAnswer(TimePoint now);
@@ -103,7 +109,7 @@
   // that the start makes it crash.
   bool HasSurvivedStart(const Run& run) const;
   // What a loss of the run says of its task, from what is known by now.
-  CrashEvidence JudgeLoss(const Run& run) const;
+  LostRun JudgeLoss(const Run& run, TimePoint now) const;
 
   // An order did not reach it; it gets no tasks before it answers a sync.
   void RecordUnreachable();
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -16,7 +16,6 @@
 constexpr Duration kLongestLease{6'000};
 constexpr Duration kGangWait{4'000};
 constexpr Duration kCrashDelay{10};
-constexpr Duration kOutage{3'000};
 // The platform's limit of one answer.
 constexpr size_t kMaxListedEnds = 500;
 
@@ -62,11 +61,25 @@
 
 void ModelWorkers::Crash(const WorkerId& id) {
   ++crashes_;
-  const int64_t next = workers_[id].entry.incarnation_start_wall_ms + 1;
+  const int64_t next = clock_.WallMillis() + outage_.count();
+  const bool silent = crash_style_ != CrashStyle::kRefusing;
   workers_[id].down = true;
+  workers_[id].faults.silent = silent;
   Restart(id, next);
   workers_[id].down = true;
-  runner_.PostAfter(kOutage, [this, id] { workers_[id].down = false; });
+  if (crash_style_ == CrashStyle::kForGood)
+    return;
+  runner_.PostAfter(outage_, [this, id] {
+    workers_[id].down = false;
+    workers_[id].faults.silent = false;
+  });
+}
+
+void ModelWorkers::CutOff(const WorkerId& id) {
+  ModelWorker& worker = workers_[id];
+  worker.cut_off = true;
+  for (const auto& it : std::exchange(worker.waiting, {}))
+    runner_.Post(it);
 }
 
 int64_t ModelWorkers::ClockOf(const ModelWorker& worker) const {
@@ -85,7 +98,7 @@
     runner_.PostAfter(timeout, no_answer);
     return;
   }
-  if (workers_[id].down) {
+  if (workers_[id].down || workers_[id].cut_off) {
     runner_.PostAfter(answer_time_, [give_up] {
       give_up(absl::UnavailableError("connection refused"));
     });
@@ -147,7 +160,7 @@
   }
   runner_.PostAfter(answer_time_, [this, id = worker.id, request, done] {
     ModelWorker& here = workers_[id];
-    if (here.down) {
+    if (here.down || here.cut_off) {
       done(absl::UnavailableError("connection refused"));
       return;
     }
@@ -179,7 +192,7 @@
       // A process without power breaks no connection.
       if (now_here.faults.silent)
         done(absl::DeadlineExceededError("no answer"));
-      else if (now_here.down)
+      else if (now_here.down || now_here.cut_off)
         done(absl::UnknownError("the connection broke"));
       else
         done(Snapshot(workers_[id]));
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -55,9 +55,23 @@
   // Crashes the worker and starts it again under the same id: it runs and
   // knows nothing of before, and its clock and counts start anew.
   void Restart(const WorkerId& id, int64_t incarnation_start_wall_ms);
-  // The worker refuses connections for some seconds, then is back as a new
-  // incarnation.
+  enum class CrashStyle {
+    kRefusing,  // Refuses connections until it is back.
+    kSilent,    // Has no power until it is back: calls have no answer.
+    kForGood,   // Like kSilent, and never comes back.
+  };
+  // Of all crashes from now on.
+  void set_crash_style(CrashStyle style, Duration outage) {
+    crash_style_ = style;
+    outage_ = outage;
+  }
+  // The worker is down, then back as a new incarnation.
   void Crash(const WorkerId& id);
+  // Whether the worker is there to tell the platform of itself.
+  bool IsUp(const WorkerId& id) const { return !workers_.at(id).down; }
+  // Resets the connections to the worker and refuses new ones. It runs on.
+  void CutOff(const WorkerId& id);
+  void Reconnect(const WorkerId& id) { workers_[id].cut_off = false; }
   ModelWorkerFaults& faults(const WorkerId& id) { return workers_[id].faults; }
 
   void Start(const batch::WorkerEntry& worker,
@@ -111,6 +125,7 @@
     ModelWorkerFaults faults;
     uint64_t life = 0;      // Grows with each restart.
     bool down = false;      // Crashed and not yet back.
+    bool cut_off = false;   // Its connections are reset and refused.
     TimePoint clock_start;  // When the worker's clock showed 0.
     Epoch fence;
     TimePoint lease_until;
@@ -153,6 +168,8 @@
   GangSize gang_size_;
   DeadlyTasks deadly_;
   int crashes_ = 0;
+  CrashStyle crash_style_ = CrashStyle::kRefusing;
+  Duration outage_{3'000};
   std::map<WorkerId, ModelWorker> workers_;
   std::map<batch::TaskId, int> starts_;
   std::map<batch::TaskId, TimePoint> first_start_;
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -153,7 +153,7 @@
 void BatchFixture::Run(Duration duration) {
   for (Duration passed{0}; passed < duration; passed += kStep) {
     for (WorkerEntry& it : listed) {
-      if (workers.crashes() > 0)
+      if (workers.crashes() > 0 && workers.IsUp(it.id))
         it.incarnation_start_wall_ms =
             workers.entry(it.id).incarnation_start_wall_ms;
     }
