Keep the failed attempt of a gang in the state row

Cause: StepProgress::failed_attempt, which keeps an attempt from counting twice, was neither written by EncodeState nor set by RestoreState.

The row has the last failed attempt of each gang that has one. Rows without it are read as before.

The members of a gang in the model hear of each other's end after a delay, if a test asks for it, so that each can list an end of its own.

--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -60,6 +60,15 @@
 // Columns of an unclear loss.
 enum LossColumn { kLossWorker, kLossIncarnation, kLossPoints, kLossColumns };
 
+// Columns of a gang's failed attempt in a state row.
+enum GangColumn { kGangOccurrence, kGangStep, kGangAttempt, kGangColumns };
+
+bool IsReadableGang(const json& row) {
+  return row.is_array() && row.size() >= kGangColumns &&
+         row[kGangOccurrence].is_number() && row[kGangStep].is_number() &&
+         row[kGangAttempt].is_number();
+}
+
 bool HasProgress(const TaskProgress& task) {
   return task.done || task.attempt.value() > 0;
 }
@@ -453,13 +462,42 @@
       row.push_back(EncodeLosses(task.unclear_losses));
     tasks.push_back(std::move(row));
   });
-  const json body = {{"workspace", record_.workspace.value()},
-                     {"phase", ToString(phase())},
-                     {"begun", begun_},
-                     {"tasks", std::move(tasks)}};
+  json body = {{"workspace", record_.workspace.value()},
+               {"phase", ToString(phase())},
+               {"begun", begun_},
+               {"tasks", std::move(tasks)}};
+  if (json gangs = EncodeFailedAttempts(); !over && !gangs.empty())
+    body["failed_attempts"] = std::move(gangs);
   return body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+json Job::EncodeFailedAttempts() const {
+  json rows = json::array();
+  for (size_t occurrence = 0; occurrence < occurrences_.size(); ++occurrence) {
+    const auto& steps = occurrences_[occurrence].steps;
+    for (size_t step = 0; step < steps.size(); ++step) {
+      const Attempt failed = steps[step].failed_attempt;
+      if (failed.value() > 0 && !IsDone(steps[step]))
+        rows.push_back({occurrence, step, failed.value()});
+    }
+  }
+  return rows;
+}
+
+bool Job::RestoreFailedAttempts(const json& rows) {
+  for (const json& row : rows) {
+    if (!IsReadableGang(row))
+      return false;
+    StepProgress* const step =
+        FindStep({record_.id, row[kGangOccurrence].get<int>(),
+                  row[kGangStep].get<int>(), 0});
+    if (!step)
+      return false;
+    step->failed_attempt = Attempt(row[kGangAttempt].get<uint64_t>());
+  }
+  return true;
+}
+
 bool Job::RestoreState(const std::string& value, TimePoint now) {
   const json body = json::parse(value, nullptr, false);
   Findings findings;
@@ -501,6 +539,10 @@
                       .saved_at = now};
     }
   }
+  // Rows of former versions lack it.
+  const auto failed_attempts = body.find("failed_attempts");
+  if (failed_attempts != body.end() && !RestoreFailedAttempts(*failed_attempts))
+    return false;
   KeepFinalPhase();
   return true;
 }
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "core/finding.h"
 #include "core/ids.h"
 #include "core/time.h"
@@ -237,6 +239,9 @@
   // nullopt while the job goes on.
   std::optional<JobPhase> FindFinalPhase() const;
   bool HasFailed() const;
+  // The last attempt that counted as failed, of each gang that has one.
+  nlohmann::json EncodeFailedAttempts() const;
+  bool RestoreFailedAttempts(const nlohmann::json& rows);
   // Keeps the present phase if it is final.
   void KeepFinalPhase();
 
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -404,8 +404,14 @@
     runner_.Post(it);
   if (!breaks_gang)
     return;
-  for (const Member& it : MembersOf(task, attempt))
-    End(workers_[it.worker], it.task, EndReason::kBroken);
+  const auto break_gang = [this, task, attempt] {
+    for (const Member& it : MembersOf(task, attempt))
+      End(workers_[it.worker], it.task, EndReason::kBroken);
+  };
+  if (gang_news_delay_ > Duration(0))
+    runner_.PostAfter(gang_news_delay_, break_gang);
+  else
+    break_gang();
 }
 
 int ModelWorkers::starts(const batch::TaskId& task) const {
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -43,6 +43,9 @@
   // Gangs work only while all members are present, and end together. Without
   // this each task counts as independent.
   void set_gang_size(GangSize size) { gang_size_ = std::move(size); }
+  // Time until the members of a gang hear of the end of another one. Those
+  // that end by themselves meanwhile list an end of their own.
+  void set_gang_news_delay(Duration delay) { gang_news_delay_ = delay; }
   // Tasks that crash each worker soon after it starts them.
   using DeadlyTasks = std::function<bool(const batch::TaskId&)>;
   void set_deadly_tasks(DeadlyTasks deadly) { deadly_ = std::move(deadly); }
@@ -166,6 +169,7 @@
   Duration answer_time_;
   RunTime run_time_;
   GangSize gang_size_;
+  Duration gang_news_delay_{0};
   DeadlyTasks deadly_;
   int crashes_ = 0;
   CrashStyle crash_style_ = CrashStyle::kRefusing;
--- a/tests/batch/job_state_test.cc
+++ b/tests/batch/job_state_test.cc
@@ -55,6 +55,41 @@
   CHECK(job.phase() == JobPhase::kFailed);
 }
 
+// Guards against a job that is shown as failed too early, because a new leader
+// counts the attempt again when a second member's end is listed to it.
+TEST_CASE("A failed attempt of a gang counts once across a change of leader") {
+  Job job = MakeGangJob(3);
+  StartAll(job, 1);
+  job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kFailed, "", kWorker);
+  Job next = MakeGangJob(3);
+  REQUIRE(next.RestoreState(job.EncodeState(), FromMillis(20'000)));
+  CHECK(
+      next.ApplyEnd(Task(next, 1), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK(next.Find(Task(next, 0))->failures == 1);
+  CHECK_FALSE(next.IsFinal());
+  Job last = MakeGangJob(3);
+  REQUIRE(last.RestoreState(next.EncodeState(), FromMillis(30'000)));
+  CHECK(
+      last.ApplyEnd(Task(last, 2), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK(last.Find(Task(last, 0))->failures == 1);
+  CHECK_FALSE(last.IsFinal());
+  // A second attempt counts.
+  StartAll(last, 2);
+  last.ApplyEnd(Task(last, 0), Attempt(2), EndReason::kFailed, "", kWorker);
+  CHECK(last.phase() == JobPhase::kFailed);
+}
+
+// Guards against states of former versions that cannot be read.
+TEST_CASE("A state row without failed attempts of gangs is read as before") {
+  Job job = MakeGangJob(2);
+  const char* const row =
+      R"({"workspace":"plaza","phase":"running","begun":true,)"
+      R"("tasks":[[0,0,0,0,1,1,"","w1"],[0,0,1,0,1,1,"","w2"]]})";
+  REQUIRE(job.RestoreState(row, FromMillis(20'000)));
+  CHECK(job.Find(Task(job, 1))->failures == 1);
+  CHECK(job.FindStep(Task(job, 0))->failed_attempt == Attempt());
+}
+
 // Guards against counting an end again that a worker lists a second time.
 TEST_CASE("An end that was applied before changes nothing") {
   Job job = MakeGangJob(1);
--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -124,6 +124,39 @@
   CHECK(fixture.workers.running() == 0);
 }
 
+// Guards against a job that is shown as failed too early: its gang's members
+// list their failed ends to two leaders, one after the other.
+TEST_CASE("Ends of a gang that two leaders learn of are one failed attempt") {
+  LeaderFixture fixture(1, 2);
+  fixture.workers.set_gang_size([](const StartOrder&) { return 2; });
+  fixture.workers.set_gang_news_delay(Duration(2));
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).fails_tasks = true;
+  const auto await_starts = [&](int starts) {
+    for (int n = 0; n < 2'000 && fixture.workers.total_starts() < starts; ++n)
+      fixture.Run(Duration(10));
+    REQUIRE(fixture.workers.total_starts() == starts);
+  };
+  fixture.Submit(kJob, MakeJob(2, 8, true));
+  await_starts(2);
+  const WorkerId second = fixture.workers.HolderOf(Task(kJob, 1));
+  fixture.workers.faults(second).silent = true;
+  fixture.Run(Duration(800));
+  REQUIRE(fixture.workers.failures(Task(kJob, 0)) == 1);
+  REQUIRE(fixture.workers.failures(Task(kJob, 1)) == 1);
+  fixture.Kill(0);
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'500));
+  fixture.workers.faults(second).silent = false;
+  // The job has three attempts. The second one fails as well.
+  await_starts(4);
+  fixture.Run(Duration(500));
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).fails_tasks = false;
+  CHECK(fixture.RunUntilFinal(kJob, Duration(60'000)) == JobPhase::kComplete);
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 3);
+}
+
 TEST_CASE("A finished job does not run again when its rows outlive it") {
   LeaderFixture fixture;
   fixture.Submit(kFinishedJob, MakeJob(1, 1, false));
