Avoid workers only where others could hold the tasks

Cause: the workers on which a step had failed were allowed again only when they were more than half of all workers of the service, whether these had the label or not. The same list was built again for a refused member of a gang.

Avoid() counts the workers that could hold the tasks when idle: label, size, limit per worker. It has no effect when the avoided ones are more than half of these, or when the others could not hold the demand. A step that could start on avoided workers alone waits 2 s where there is ample room, else 8 s. The same for workers with a penalty and for headroom racks; ample room lifts the deferral of all steps, not of gangs alone; a suspect task is kept apart from its own step for 4 s, not for good.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -237,11 +237,18 @@
   std::vector<PlacementUnit> CollectUnits(const PassState& pass);
   std::vector<Candidate>& CandidatesOf(const ServiceName& service,
                                        PassState& pass);
-  // Whether a gang has waited for long although there is ample room.
+  // Whether a step has waited for long although there is ample room.
   bool HasOutwaitedRoom(const PlacementUnit& unit,
                         const std::vector<Candidate>& candidates,
                         const Demand& demand,
                         TimePoint now);
+  // Whether a step has waited for long although the workers that `preferred`
+  // avoids have room for it.
+  bool HasOutwaitedAvoidance(StepProgress& step,
+                             const std::vector<Candidate>& candidates,
+                             const Demand& demand,
+                             const Demand& preferred,
+                             TimePoint now);
   // Restricts the demand of a suspect unit so that a crash is told from those
   // of others, and takes little work with it.
   void Isolate(const PlacementUnit& unit,
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -47,6 +47,10 @@
 // A gang waits this long for a rack or for the end of its deferral while there
 // is ample room. Then even a slow run is better than none.
 constexpr Duration kAmpleRoomPatience{2'000};
+// A step waits this long for other workers than those on which it is likely to
+// fail, unless there is ample room there. Longer than workers usually fail all
+// that they start.
+constexpr Duration kAvoidancePatience{8'000};
 // Preemptions that are further apart are not in a row.
 constexpr Duration kPreemptionMemory{10'000};
 // Urgent steps are expected to start sooner than this. Also the time between
@@ -91,18 +95,28 @@
   return weight * (lost_work + kRestartCost);
 }
 
-// Excludes workers with a penalty: one failing worker fails a whole gang, and
-// no run should be stopped in favour of one that is likely to fail. Excludes
-// none if they are more than half.
+// Avoids workers with a penalty: one failing worker fails a whole gang, and no
+// run should be stopped in favour of one that is likely to fail.
 void AvoidUnhealthyWorkers(const std::vector<Candidate>& candidates,
                            Demand& demand) {
-  std::vector<WorkerId> unhealthy;
+  std::set<WorkerId> unhealthy;
   for (const Candidate& it : candidates) {
     if (it.penalty > 0)
-      unhealthy.push_back(it.worker->id);
+      unhealthy.insert(it.worker->id);
   }
-  if (unhealthy.size() * 2 <= candidates.size())
-    demand.avoid.insert(unhealthy.begin(), unhealthy.end());
+  Avoid(candidates, unhealthy, demand);
+}
+
+// Avoids workers on which the step is likely to fail.
+void AvoidLikelyFailures(const StepProgress& step,
+                         const std::vector<Candidate>& candidates,
+                         Demand& demand) {
+  std::set<WorkerId> failed_on;
+  for (const TaskProgress& it : step.tasks)
+    failed_on.insert(it.failed_on.begin(), it.failed_on.end());
+  Avoid(candidates, failed_on, demand);
+  if (demand.all_or_none)
+    AvoidUnhealthyWorkers(candidates, demand);
 }
 
 }  // namespace
@@ -361,14 +375,11 @@
   for (const TaskProgress& it : step.tasks) {
     if (it.run)
       demand.present.push_back(it.run->worker);
-    demand.avoid.insert(it.failed_on.begin(), it.failed_on.end());
   }
-  // Workers on which the step has failed are allowed again if they are more
-  // than half of the candidates.
-  if (demand.avoid.size() * 2 > candidates.size())
-    demand.avoid.clear();
-  if (unit.spec->gang)
-    AvoidUnhealthyWorkers(candidates, demand);
+  Demand preferred = demand;
+  AvoidLikelyFailures(step, candidates, preferred);
+  if (!HasOutwaitedAvoidance(step, candidates, demand, preferred, pass.now))
+    demand = std::move(preferred);
   if (unit.suspect)
     Isolate(unit, candidates, demand, pass.now);
   const bool can_defer = CanDefer(unit, pass.now);
@@ -379,7 +390,7 @@
         pass.headroom.try_emplace(unit.job->record().service);
     if (added)
       it->second = ChooseHeadroom(candidates, kHeadroomShare);
-    demand.avoid_racks = it->second;
+    AvoidRacks(candidates, it->second, demand);
   }
   if (!unit.spec->gang) {
     const Placement placement = PlaceTasks(candidates, demand);
@@ -410,10 +421,10 @@
                          Demand& demand,
                          TimePoint now) {
   demand.prefer_idle = true;
-  if (!unit.spec->gang)
-    demand.max_per_worker = 1;
   if (now - unit.step->crashed_at > kIsolationPatience)
     return;
+  if (!unit.spec->gang)
+    demand.max_per_worker = 1;
   // Passes go on until the runs on some worker are proven.
   pass_due_ = true;
   for (const Candidate& it : candidates) {
@@ -427,8 +438,7 @@
                                   const Demand& demand,
                                   TimePoint now) {
   StepProgress& step = *unit.step;
-  if (!unit.spec->gang || Job::HasRuns(step) ||
-      !HasAmpleRoom(candidates, demand)) {
+  if (Job::HasRuns(step) || !HasAmpleRoom(candidates, demand)) {
     step.ample_room_since = TimePoint();
     return false;
   }
@@ -439,6 +449,27 @@
   return outwaited;
 }
 
+bool Dispatcher::HasOutwaitedAvoidance(StepProgress& step,
+                                       const std::vector<Candidate>& candidates,
+                                       const Demand& demand,
+                                       const Demand& preferred,
+                                       TimePoint now) {
+  const bool avoids_some = preferred.avoid.size() > demand.avoid.size();
+  if (!avoids_some || HasRoom(candidates, preferred) ||
+      !HasRoom(candidates, demand)) {
+    step.avoiding_since = TimePoint();
+    return false;
+  }
+  if (step.avoiding_since == TimePoint())
+    step.avoiding_since = now;
+  const Duration patience = HasAmpleRoom(candidates, demand)
+                                ? kAmpleRoomPatience
+                                : kAvoidancePatience;
+  const bool outwaited = now - step.avoiding_since >= patience;
+  pass_due_ = pass_due_ || !outwaited;
+  return outwaited;
+}
+
 bool Dispatcher::MayReserve(const PlacementUnit& unit,
                             const PassState& pass) const {
   if (pass.now < unit.step->reclaim_at)
@@ -754,7 +785,6 @@
   for (const TaskProgress& it : step.tasks) {
     if (!it.run || it.run->phase == RunPhase::kStopping)
       return false;
-    demand.avoid.insert(it.failed_on.begin(), it.failed_on.end());
     if (&it == &task)
       continue;
     demand.present.push_back(it.run->worker);
@@ -762,12 +792,16 @@
       racks.insert(worker->entry.rack);
   }
   demand.avoid.insert(task.run->worker);
-  AvoidUnhealthyWorkers(candidates, demand);
   for (const Candidate& it : candidates) {
     if (spec.rack_local && !racks.empty() && !racks.contains(it.worker->rack))
       demand.avoid_racks.insert(it.worker->rack);
   }
-  const Placement placement = PlaceTasks(candidates, demand);
+  Demand preferred = demand;
+  AvoidLikelyFailures(step, candidates, preferred);
+  Placement placement = PlaceTasks(candidates, preferred);
+  // The others of the gang wait for it.
+  if (placement.empty())
+    placement = PlaceTasks(candidates, demand);
   if (placement.empty())
     return false;
   const WorkerId& worker = candidates[placement.front()].worker->id;
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -126,6 +126,7 @@
   TimePoint preempted_at;
   TimePoint next_speed_check;  // Of a gang, at the progress of its members.
   TimePoint ample_room_since;  // It waits although there is ample room.
+  TimePoint avoiding_since;    // It waits although avoided workers have room.
   TimePoint crashed_at;        // A worker crashed under one of its tasks.
   TimePoint next_wait_log;     // Earliest time of the next line on its wait.
 };
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -263,6 +263,56 @@
   return HasRoomForAll(candidates, twice);
 }
 
+bool HasRoom(const std::vector<Candidate>& candidates, const Demand& demand) {
+  Demand needed = demand;
+  if (!needed.all_or_none)
+    needed.tasks = 1;
+  return HasRoomForAll(candidates, needed);
+}
+
+bool FitsWhenIdle(const std::vector<Candidate>& candidates,
+                  const Demand& demand) {
+  const int needed = demand.all_or_none ? demand.tasks : 1;
+  int total = 0;
+  for (const Candidate& it : candidates) {
+    total += CountFits(*it.worker, it.worker->capacity, demand);
+    if (total >= needed)
+      return true;
+  }
+  return false;
+}
+
+void Avoid(const std::vector<Candidate>& candidates,
+           const std::set<WorkerId>& workers,
+           Demand& demand) {
+  if (workers.empty())
+    return;
+  size_t eligible = 0;
+  size_t avoided = 0;
+  for (const Candidate& it : candidates) {
+    if (CountFits(*it.worker, it.worker->capacity, demand) == 0)
+      continue;
+    ++eligible;
+    if (workers.contains(it.worker->id))
+      ++avoided;
+  }
+  if (avoided * 2 > eligible)
+    return;
+  Demand rest = demand;
+  rest.avoid.insert(workers.begin(), workers.end());
+  if (FitsWhenIdle(candidates, rest))
+    demand = std::move(rest);
+}
+
+void AvoidRacks(const std::vector<Candidate>& candidates,
+                const std::set<RackId>& racks,
+                Demand& demand) {
+  Demand rest = demand;
+  rest.avoid_racks.insert(racks.begin(), racks.end());
+  if (FitsWhenIdle(candidates, rest))
+    demand = std::move(rest);
+}
+
 bool FitsSomeRack(const std::vector<Candidate>& candidates,
                   const Demand& demand) {
   std::map<RackId, int> totals;
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -87,6 +87,22 @@
 bool HasAmpleRoom(const std::vector<Candidate>& candidates,
                   const Demand& demand);
 
+// Whether there is room for all tasks of a gang, or for one of other tasks.
+bool HasRoom(const std::vector<Candidate>& candidates, const Demand& demand);
+// The same if all workers were idle.
+bool FitsWhenIdle(const std::vector<Candidate>& candidates,
+                  const Demand& demand);
+
+// Lets the demand avoid the workers. Has no effect when they are more than half
+// of those that could hold its tasks, or when the others could not.
+void Avoid(const std::vector<Candidate>& candidates,
+           const std::set<WorkerId>& workers,
+           Demand& demand);
+// The same for whole racks, without the limit of a half.
+void AvoidRacks(const std::vector<Candidate>& candidates,
+                const std::set<RackId>& racks,
+                Demand& demand);
+
 // Whether some rack could hold the whole demand if it were empty.
 bool FitsSomeRack(const std::vector<Candidate>& candidates,
                   const Demand& demand);
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -66,6 +66,50 @@
   CHECK_FALSE(FitsSomeRack(cluster.candidates, GangDemand(3, 8, true)));
 }
 
+// Guards against a preference that bans the only workers that a task may use.
+TEST_CASE("Workers are avoided only where others could hold the tasks") {
+  Cluster cluster(3, 2);
+  Demand demand = GangDemand(1, 8, false);
+  const auto avoids = [&](const std::set<WorkerId>& workers) {
+    Demand preferred = demand;
+    Avoid(cluster.candidates, workers, preferred);
+    return !preferred.avoid.empty();
+  };
+  const WorkerId first = cluster.workers[0].id;
+  const WorkerId second = cluster.workers[1].id;
+  CHECK(avoids({first, second}));
+  SUBCASE("a label that only they have") {
+    demand.required_label = "r1-0";
+    CHECK(avoids({first}));
+    CHECK_FALSE(avoids({first, second}));
+  }
+  SUBCASE("a size that only they have") {
+    demand.each.accelerators = Accelerators(16);
+    cluster.workers[0].capacity.accelerators = Accelerators(16);
+    CHECK_FALSE(avoids({first}));
+    cluster.workers[2].capacity.accelerators = Accelerators(16);
+    CHECK(avoids({first}));
+  }
+  SUBCASE("a gang that needs all of them") {
+    demand.tasks = 5;
+    CHECK(avoids({first}));
+    CHECK_FALSE(avoids({first, second}));
+  }
+  SUBCASE("a limit that others have reached") {
+    demand.max_per_worker = 1;
+    for (size_t n = 1; n < cluster.workers.size(); ++n)
+      demand.present.push_back(cluster.workers[n].id);
+    CHECK_FALSE(avoids({first}));
+  }
+  SUBCASE("racks") {
+    demand.required_label = "r1-0";
+    AvoidRacks(cluster.candidates, {RackId("r1-1")}, demand);
+    CHECK(demand.avoid_racks.contains(RackId("r1-1")));
+    AvoidRacks(cluster.candidates, {RackId("r1-0")}, demand);
+    CHECK_FALSE(demand.avoid_racks.contains(RackId("r1-0")));
+  }
+}
+
 // Guards against small tasks that spread and leave no whole worker free.
 TEST_CASE("Small tasks fill workers that are in use") {
   Cluster cluster(2, 2);
--- a/tests/batch/job_state_test.cc
+++ b/tests/batch/job_state_test.cc
@@ -63,14 +63,14 @@
   job.ApplyEnd(Task(job, 0), Attempt(1), EndReason::kFailed, "", kWorker);
   Job next = MakeGangJob(3);
   REQUIRE(next.RestoreState(job.EncodeState(), FromMillis(20'000)));
-  CHECK(
-      next.ApplyEnd(Task(next, 1), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK(next.ApplyEnd(Task(next, 1), Attempt(1), EndReason::kFailed, "",
+                      kWorker));
   CHECK(next.Find(Task(next, 0))->failures == 1);
   CHECK_FALSE(next.IsFinal());
   Job last = MakeGangJob(3);
   REQUIRE(last.RestoreState(next.EncodeState(), FromMillis(30'000)));
-  CHECK(
-      last.ApplyEnd(Task(last, 2), Attempt(1), EndReason::kFailed, "", kWorker));
+  CHECK(last.ApplyEnd(Task(last, 2), Attempt(1), EndReason::kFailed, "",
+                      kWorker));
   CHECK(last.Find(Task(last, 0))->failures == 1);
   CHECK_FALSE(last.IsFinal());
   // A second attempt counts.
