Restart preempted work after 2 s where there is ample room

The delay keeps work from being stopped again in a burst of urgent work. Where less than half of the capacity is in use and the tasks would fit twice there is no burst, so the delay ends after 2 s of ample room, like deferral.

--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -44,8 +44,9 @@
 // A suspect task waits this long for a worker on which nothing has just
 // started; afterwards it may start on any.
 constexpr Duration kIsolationPatience{4'000};
-// A gang waits this long for a rack or for the end of its deferral while there
-// is ample room. Then even a slow run is better than none.
+// A step waits this long for a rack, for the end of its deferral or for its
+// restart after a preemption while there is ample room. Then even a slow run is
+// better than none. Below the 3 s for which the users let a job stand.
 constexpr Duration kAmpleRoomPatience{2'000};
 // A step waits this long for other workers than those on which it is likely to
 // fail, unless there is ample room there. Longer than workers usually fail all
@@ -376,6 +377,11 @@
     if (it.run)
       demand.present.push_back(it.run->worker);
   }
+  if (pass.now < step.restart_at &&
+      !HasOutwaitedRoom(unit, candidates, demand, pass.now)) {
+    pass_due_ = true;
+    return "it was preempted a moment ago";
+  }
   Demand preferred = demand;
   AvoidLikelyFailures(step, candidates, preferred);
   if (!HasOutwaitedAvoidance(step, candidates, demand, preferred, pass.now))
@@ -734,7 +740,7 @@
   if (step.preemptions == 0 || step.preempted_at != now)
     ++step.preemptions;
   step.preempted_at = now;
-  step.retry_at = std::max(step.retry_at, now + RestartDelay(step.preemptions));
+  step.restart_at = now + RestartDelay(step.preemptions);
   StopRun(job, id, now, "preempted by urgent work");
 }
 
--- a/tests/batch/dispatcher_test.cc
+++ b/tests/batch/dispatcher_test.cc
@@ -427,6 +427,31 @@
   CHECK(fixture.RunUntilFinal(kJob, kLong) == JobPhase::kComplete);
 }
 
+// Guards against a job that stands still on an idle cluster, since it has been
+// preempted several times in a row.
+TEST_CASE("A preempted job restarts soon where there is ample room") {
+  LeaderFixture fixture(2, 4);
+  fixture.Submit(kJob, MakeJob(1, 4, false), "/sketches/");
+  const TaskId task = Task(kJob, 0);
+  for (int n = 0; n < 4; ++n) {
+    fixture.run_time = kLong;
+    for (int tick = 0; tick < 800 && !fixture.workers.IsRunning(task); ++tick)
+      fixture.Run(Duration(10));
+    REQUIRE(fixture.workers.IsRunning(task));
+    fixture.run_time = Duration(100);
+    const std::string urgent = "00000000000001a" + std::to_string(n);
+    fixture.Submit(urgent, MakeJob(8, 8, true), "/holds/");
+    for (int tick = 0; tick < 100 && fixture.workers.IsRunning(task); ++tick)
+      fixture.Run(Duration(10));
+    REQUIRE_FALSE(fixture.workers.IsRunning(task));
+    REQUIRE(fixture.RunUntilFinal(urgent, kLong) == JobPhase::kComplete);
+  }
+  REQUIRE(fixture.workers.running() == 0);
+  fixture.run_time = kLong;
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.workers.IsRunning(task));
+}
+
 // Guards against runs of a cancelled job that go on or start again.
 TEST_CASE("A cancelled job is stopped and reported as cancelled") {
   LeaderFixture fixture;
