Log what a leader knew of a worker's lease and of calls without an answer

From the logs of a run that ran twice one could not tell which call had set the lease that the worker followed, on which process's clock it was asked for, what the leader counted, or whether calls for a former process were still under way. The lines on a lost run, a failed sync and a new incarnation tell this now.

--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -133,7 +133,7 @@
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
   worker.has_unanswered_start = true;
-  order.lease_until_ms = worker.GrantLease(now, kStartLease);
+  order.lease_until_ms = worker.GrantLease(now, kStartLease, "start");
   if (!std::exchange(run.ordered, true))
     run.ordered_at = now;
   ++worker.runs;
@@ -167,6 +167,8 @@
     worker.ObserveClock(*reply->clock_ms, now);
     worker.RecordAnswer(now);
   }
+  if (!reply.ok() && !absl::IsUnavailable(reply.status()))
+    ++worker.unanswered_calls;
   Run* const run = FindRun(id, attempt, worker_id);
   if (!run)
     return;
@@ -435,8 +437,8 @@
       loss.evidence != CrashEvidence::kNone && !loss.has_crashed;
   LOG(INFO) << "task " << ToString(id) << " attempt=" << attempt
             << " lost its run: " << why << ": worker=" << worker.entry.id
-            << " silent_ms=" << (now - worker.heard_at).count()
-            << " may_have_crashed=" << is_unclear;
+            << " may_have_crashed=" << is_unclear << " "
+            << worker.DescribeLease(now);
   if (is_unclear)
     unclear_losses_[worker.entry.id].insert(id);
   else if (loss.has_crashed)
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -67,7 +67,7 @@
   const Duration lease = std::min(kLeaseLength, MaxLease(now));
   if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0 &&
       lease > Duration(0) && worker.LongestEffect(lease) <= MaxLease(now))
-    request.lease_until_ms = worker.GrantLease(now, lease);
+    request.lease_until_ms = worker.GrantLease(now, lease, "sync");
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
   const bool polls = may_wait && polls_ < options_.max_polls;
@@ -104,10 +104,13 @@
   }
   if (!reply.ok() || (reply->result != OrderResult::kDone &&
                       reply->result != OrderResult::kFenced)) {
+    if (!reply.ok() && !absl::IsUnavailable(reply.status()))
+      ++worker.unanswered_calls;
     if (worker.sync_failures++ == 0) {
       LOG(WARNING) << "worker " << id << " cannot be synced: "
                    << (reply.ok() ? "it refused"
-                                  : std::string(reply.status().message()));
+                                  : std::string(reply.status().message()))
+                   << ": " << worker.DescribeLease(now);
     }
     // Another worker has its address, so its process has ended. A connection
     // that breaks or is refused may be the network's doing.
@@ -129,7 +132,6 @@
       knows_incarnation && reply->incarnation_start_wall_ms !=
                                worker.entry.incarnation_start_wall_ms;
   if (restarted) {
-    LOG(INFO) << "worker " << id << " has a new incarnation";
     worker.ResetForIncarnation(reply->incarnation_start_wall_ms);
     speeds_.Forget(id);
   }
--- a/servers/batch/lease_handover.cc
+++ b/servers/batch/lease_handover.cc
@@ -58,7 +58,7 @@
   const Duration left = limit_ - now;
   const Duration lease = std::min(kLeaseLength, left);
   if (worker.LongestEffect(lease) <= left)
-    request.lease_until_ms = worker.GrantLease(now, lease);
+    request.lease_until_ms = worker.GrantLease(now, lease, "hand-over");
   worker.sync_in_flight = true;
   worker.next_sync = now + kRenewalInterval;
   port_.Sync(
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
+#include <utility>
 
 #include "core/logging.h"
 
@@ -23,11 +25,13 @@
   return clock_ms + static_cast<int64_t>(std::floor(elapsed * kSlowestClock));
 }
 
-int64_t Worker::GrantLease(TimePoint now, Duration length) {
+int64_t Worker::GrantLease(TimePoint now, Duration length, const char* order) {
   const auto longest = static_cast<int64_t>(std::ceil(
       static_cast<double>(LongestEffect(length).count()) / kSlowestClock));
   leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
-  return EstimateClock(now) + length.count();
+  last_grant = {order, now, EstimateClock(now) + length.count(),
+                entry.incarnation_start_wall_ms};
+  return last_grant.until_ms;
 }
 
 void Worker::ObserveClock(int64_t clock, TimePoint now) {
@@ -48,6 +52,11 @@
 }
 
 void Worker::ResetForIncarnation(int64_t incarnation_start_wall_ms) {
+  former_calls += std::exchange(unanswered_calls, 0);
+  LOG(INFO) << "worker " << entry.id << " has a new incarnation: former="
+            << entry.incarnation_start_wall_ms
+            << " present=" << incarnation_start_wall_ms
+            << " former_calls=" << former_calls;
   entry.incarnation_start_wall_ms = incarnation_start_wall_ms;
   has_ended = true;
   has_clock = false;
@@ -82,6 +91,20 @@
           .incarnation_start_wall_ms = entry.incarnation_start_wall_ms};
 }
 
+std::string Worker::DescribeLease(TimePoint now) const {
+  std::ostringstream text;
+  text << "lease_order=" << last_grant.order
+       << " granted_ms_ago=" << (now - last_grant.at).count()
+       << " until_ms=" << last_grant.until_ms
+       << " on_clock_of=" << last_grant.incarnation_start_wall_ms
+       << " incarnation=" << entry.incarnation_start_wall_ms
+       << " heard_ms_ago=" << (now - heard_at).count()
+       << " leases_end_in_ms=" << (leases_end - now).count()
+       << " unanswered_calls=" << unanswered_calls
+       << " former_calls=" << former_calls;
+  return text.str();
+}
+
 void Worker::RecordUnreachable() {
   if (synced)
     LOG(WARNING) << "worker " << entry.id << " does not answer orders";
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/time.h"
@@ -35,6 +36,14 @@
 // Covers rounding and the travel time of orders.
 inline constexpr Duration kLeaseMargin{200};
 
+// The last lease that was granted to a worker, for logs.
+struct LeaseGrant {
+  const char* order = "none";
+  TimePoint at;
+  int64_t until_ms = 0;                   // On the worker's estimated clock.
+  int64_t incarnation_start_wall_ms = 0;  // Of the process with that clock.
+};
+
 struct Worker {
   WorkerEntry entry;
   bool listed = false;  // The platform lists it.
@@ -47,6 +56,11 @@
   TimePoint clock_at;
   // All leases granted so far have expired on the worker by then.
   TimePoint leases_end;
+  LeaseGrant last_grant;
+  // Starts and syncs without an answer, which may still be carried out: those
+  // sent to the present process, and to former ones.
+  int unanswered_calls = 0;
+  int former_calls = 0;
 
   TimePoint heard_at;  // Its last answer.
   // Since then another incarnation has come, so that the process that answered
@@ -85,8 +99,8 @@
 
   int64_t EstimateClock(TimePoint now) const;
   // The end of a lease granted now, on the worker's clock; extends
-  // `leases_end` accordingly.
-  int64_t GrantLease(TimePoint now, Duration length);
+  // `leases_end` accordingly. `order` names the call that carries it.
+  int64_t GrantLease(TimePoint now, Duration length, const char* order);
   // How long a lease granted now can last on the worker's clock. A process that
   // has restarted unnoticed shortens a lease on its predecessor's clock to the
   // longest one. Confirmed runs ended with the predecessor, so this matters
@@ -111,6 +125,9 @@
   // What a loss of the run says of its task, from what is known by now.
   LostRun JudgeLoss(const Run& run, TimePoint now) const;
 
+  // What is known of its process and its leases, for logs.
+  std::string DescribeLease(TimePoint now) const;
+
   // An order did not reach it; it gets no tasks before it answers a sync.
   void RecordUnreachable();
   // Whether it may be given tasks as far as its own state goes.
--- a/tests/batch/restarted_worker_test.cc
+++ b/tests/batch/restarted_worker_test.cc
@@ -140,7 +140,7 @@
   worker.has_unanswered_start = true;
   CHECK(worker.LongestEffect(kStartLease) == kLongestLease);
   CHECK(worker.LongestEffect(kLeaseLength) == kLongestLease);
-  worker.GrantLease(FromMillis(2'000), kStartLease);
+  worker.GrantLease(FromMillis(2'000), kStartLease, "start");
   // A new clock at 0.98 of the true speed shows the longest lease's end.
   const double passes =
       2'000 + static_cast<double>(kLongestLease.count()) / 0.98;
