--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,9 +25,12 @@
   Duration stop_time{300};
   int late_orders = 0;  // So many orders are carried out late, unanswered.
   Duration lateness{3'000};
-  // Late orders reach the next life of the worker; else they die with the
+  int late_syncs = 0;  // The same for syncs.
+  // Late calls reach the next life of the worker; else they die with the
   // process that holds them.
   bool orders_outlive_restart = false;
+  // Starts are carried out, and answered, after this time.
+  Duration start_delay{0};
 };
 
 class ModelWorkers : public batch::WorkerPort {
@@ -63,6 +67,10 @@
     kSilent,    // Has no power until it is back: calls have no answer.
     kForGood,   // Like kSilent, and never comes back.
   };
+  // Tells for each call whether it is carried out late, without an answer, and
+  // after which time. Takes the place of the counts of late calls.
+  using Lateness = std::function<std::optional<Duration>()>;
+  void set_lateness(Lateness lateness) { lateness_ = std::move(lateness); }
   // Of all crashes from now on.
   void set_crash_style(CrashStyle style, Duration outage) {
     crash_style_ = style;
@@ -108,6 +116,12 @@
   // One line for each broken promise: a task that runs twice at once, or a
   // start after a done end was noted.
   const std::vector<std::string>& violations() const { return violations_; }
+  // The same where a late call has started a run, or made the worker forget its
+  // end, before a call had reached that life in time, and nobody had been told
+  // of the run: no caller can know of it.
+  const std::vector<std::string>& violations_before_contact() const {
+    return violations_before_contact_;
+  }
 
  private:
   struct ModelRun {
@@ -118,6 +132,9 @@
     bool stands_still = false;
     int gang_size = 0;
     bool present = true;  // All members of the gang are there.
+    // Started by a late call, before a call had reached this life in time.
+    bool before_contact = false;
+    bool listed = false;  // Some caller has been told of it.
   };
   struct Member {
     WorkerId worker;
@@ -126,10 +143,11 @@
   struct ModelWorker {
     batch::WorkerEntry entry;
     ModelWorkerFaults faults;
-    uint64_t life = 0;      // Grows with each restart.
-    bool down = false;      // Crashed and not yet back.
-    bool cut_off = false;   // Its connections are reset and refused.
-    TimePoint clock_start;  // When the worker's clock showed 0.
+    uint64_t life = 0;       // Grows with each restart.
+    bool down = false;       // Crashed and not yet back.
+    bool contacted = false;  // A call has reached this life in time.
+    bool cut_off = false;    // Its connections are reset and refused.
+    TimePoint clock_start;   // When the worker's clock showed 0.
     Epoch fence;
     TimePoint lease_until;
     std::map<batch::TaskId, ModelRun> runs;
@@ -141,14 +159,27 @@
   };
 
   int64_t ClockOf(const ModelWorker& worker) const;
+  // Whether an order cannot be delivered; the failure is told to `give_up`.
+  bool IsOutOfReach(const ModelWorker& worker,
+                    Duration timeout,
+                    const std::function<void(absl::Status)>& give_up);
+  // Whether the next call is carried out late, and after which time. `count` is
+  // the number of late calls of its kind that are left.
+  std::optional<Duration> NextLateness(ModelWorker& worker, int& count) const;
   void Deliver(const WorkerId& id,
                Duration timeout,
+               std::optional<Duration> lateness,
+               Duration delay,
                std::function<void()> carry_out,
                const std::function<void(absl::Status)>& give_up);
+  void CarryOutSync(const WorkerId& id,
+                    const batch::SyncRequest& request,
+                    const SyncCallback& done);
   batch::OrderReply CarryOutStart(ModelWorker& worker,
                                   const batch::StartOrder& order);
   batch::OrderReply CarryOutStop(ModelWorker& worker,
                                  const batch::StopOrder& order);
+  void MarkListed(const WorkerId& id);
   batch::SyncReply Snapshot(const ModelWorker& worker) const;
   void ExtendLease(ModelWorker& worker, int64_t until_ms);
   int PercentOf(const ModelRun& run) const;
@@ -171,6 +202,7 @@
   GangSize gang_size_;
   Duration gang_news_delay_{0};
   DeadlyTasks deadly_;
+  Lateness lateness_;
   int crashes_ = 0;
   CrashStyle crash_style_ = CrashStyle::kRefusing;
   Duration outage_{3'000};
@@ -181,7 +213,9 @@
   std::map<batch::TaskId, int> crashes_under_;
   std::set<batch::TaskId> done_;
   std::set<batch::TaskId> noted_done_;
+  std::set<batch::TaskId> noted_before_contact_;
   std::vector<std::string> violations_;
+  std::vector<std::string> violations_before_contact_;
   uint64_t serial_ = 0;
   int total_starts_ = 0;
 };
--- a/standins/fleet/severable_workers.cc
+++ b/standins/fleet/severable_workers.cc
@@ -39,6 +39,7 @@
                             SyncCallback done) {
   const int poll = request.wait > Duration(0) ? 1 : 0;
   *polls_ += poll;
+  acknowledgements_ += request.acknowledged_ends > 0 ? 1 : 0;
   most_polls_ = std::max(most_polls_, *polls_);
   most_syncs_ = std::max(most_syncs_, ++*syncs_);
   SyncCallback finish =
--- a/standins/fleet/severable_workers.h
+++ b/standins/fleet/severable_workers.h
@@ -23,6 +23,8 @@
   int most_syncs() const { return most_syncs_; }
   // The same of those that may wait for an end.
   int most_polls() const { return most_polls_; }
+  // Syncs that made the worker forget ends, or could do so.
+  int acknowledgements() const { return acknowledgements_; }
 
   void Start(const batch::WorkerEntry& worker,
              const batch::StartOrder& order,
@@ -46,6 +48,7 @@
   std::shared_ptr<int> polls_ = std::make_shared<int>(0);
   int most_syncs_ = 0;
   int most_polls_ = 0;
+  int acknowledgements_ = 0;
 };
 
 }  // namespace quetzalshelf
