Refuse calls that were meant for a former process of a worker

Callers saw a task run twice: after a restart of its worker, a renewal that was meant for the former process was carried out seconds later by the new one. Its end, on the former clock, is far ahead there, so the worker shortens it to 6 s from that moment, and the run outlived what the leader had counted. A late sync could also make the new process forget ends that nobody had read.

Each worker has a series of fences within the leader's epoch now. It is raised when a call has had no answer and when a restart becomes known. A process that has answered under the raised fence refuses all earlier calls, however late they come; only then does the worker get tasks, and its leases count from there. An answer from before the restart no longer sets the clock, the ends or the lists of the new process. A refusal that the leader has caused itself does not depose it.

Calls carried 'fence' as the epoch; now it is the epoch times 2^24 plus the series, so a node of before cannot take over from one of now.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -447,7 +447,16 @@
   on_deposed_(reason);
 }
 
-void Dispatcher::OnFencedByWorker() {
+Fence Dispatcher::FenceOf(const Worker& worker) const {
+  return MakeFence(fencing_token_.epoch, worker.fence_series);
+}
+
+void Dispatcher::OnFencedByWorker(const Worker& worker, Fence fence) {
+  if (fence < FenceOf(worker)) {
+    LOG(INFO) << "worker " << worker.entry.id
+              << " refused a call that a later one has overtaken";
+    return;
+  }
   fenced_by_worker_ = true;
   Depose("a worker knows a newer epoch");
 }
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -131,8 +131,11 @@
   Duration MaxLease(TimePoint now) const;
   Duration PassSpacing();
   void Depose(const std::string& reason);
-  // A worker refused an order in favour of a newer epoch.
-  void OnFencedByWorker();
+  // The fence of calls to this worker.
+  Fence FenceOf(const Worker& worker) const;
+  // A worker refused a call with this fence in favour of a higher one. Deposes
+  // the leader, unless it has raised the fence itself since.
+  void OnFencedByWorker(const Worker& worker, Fence fence);
   Job* FindJob(const JobId& id);
   void RetireFinishedJobs();
   void ForgetOldJobs(TimePoint now);
@@ -146,11 +149,13 @@
   void OnStartReply(const TaskId& id,
                     Attempt attempt,
                     const WorkerId& worker_id,
+                    Fence fence,
                     const absl::StatusOr<OrderReply>& reply);
   void SendStop(const TaskId& id, Run& run, TimePoint now);
   void OnStopReply(const TaskId& id,
                    Attempt attempt,
                    const WorkerId& worker_id,
+                   Fence fence,
                    const absl::StatusOr<OrderReply>& reply);
   // Marks a run as running once its worker has confirmed the start.
   void MarkRunning(Job& job, const TaskId& id, Run& run, TimePoint now);
@@ -190,7 +195,9 @@
   // Syncs workers that have not answered yet, as many as the queue allows.
   void ContactWorkers(TimePoint now);
   void SendSync(Worker& worker, TimePoint now);
+  // `series` is that of the sync's fence.
   void OnSyncReply(const WorkerId& id,
+                   uint32_t series,
                    uint64_t sent_event,
                    const absl::StatusOr<SyncReply>& reply);
   void ApplyEnds(Worker& worker, const SyncReply& reply, TimePoint now);
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -106,7 +106,7 @@
     if (now - run.phase_since <= kStartTimeout) {
       // A successor must be able to tell when the run has expired, even if a
       // restarted process of the worker carries the order out.
-      if (MaxLease(now) >= kLongestLease)
+      if (worker.settled && MaxLease(now) >= kLongestLease)
         SendStart(job, id, run, now);
       return;
     }
@@ -129,7 +129,7 @@
   StartOrder order;
   order.task = id;
   order.attempt = run.attempt;
-  order.epoch = fencing_token_.epoch;
+  order.fence = FenceOf(worker);
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
   worker.has_unanswered_start = true;
@@ -140,10 +140,10 @@
   run.in_flight = true;
   port_.Start(
       worker.entry, order, kOrderTimeout,
-      [this, alive = alive_, id, attempt = run.attempt,
-       worker_id = run.worker](const absl::StatusOr<OrderReply>& reply) {
+      [this, alive = alive_, id, attempt = run.attempt, worker_id = run.worker,
+       fence = order.fence](const absl::StatusOr<OrderReply>& reply) {
         if (*alive && !deposed_)
-          OnStartReply(id, attempt, worker_id, reply);
+          OnStartReply(id, attempt, worker_id, fence, reply);
       });
 }
 
@@ -160,15 +160,17 @@
 void Dispatcher::OnStartReply(const TaskId& id,
                               Attempt attempt,
                               const WorkerId& worker_id,
+                              Fence fence,
                               const absl::StatusOr<OrderReply>& reply) {
   const TimePoint now = clock_.Now();
   Worker& worker = registry_.FindOrAdd(worker_id, now);
-  if (reply.ok() && reply->clock_ms) {
+  if (reply.ok() && reply->clock_ms &&
+      !worker.PrecedesRestart(SeriesOf(fence))) {
     worker.ObserveClock(*reply->clock_ms, now);
     worker.RecordAnswer(now);
   }
   if (!reply.ok() && !absl::IsUnavailable(reply.status()))
-    ++worker.unanswered_calls;
+    worker.RecordUnansweredCall();
   Run* const run = FindRun(id, attempt, worker_id);
   if (!run)
     return;
@@ -190,7 +192,8 @@
     return;
   }
   if (reply->result == OrderResult::kFenced) {
-    OnFencedByWorker();
+    OnFencedByWorker(worker, fence);
+    run->next_try = now + kOrderRetryInterval;
     return;
   }
   if (run->phase != RunPhase::kStarting)
@@ -375,26 +378,29 @@
 void Dispatcher::SendStop(const TaskId& id, Run& run, TimePoint now) {
   const Worker& worker = registry_.FindOrAdd(run.worker, now);
   run.in_flight = true;
-  port_.Stop(worker.entry, {id, run.attempt, fencing_token_.epoch},
-             kOrderTimeout,
-             [this, alive = alive_, id, attempt = run.attempt,
-              worker_id = run.worker](const absl::StatusOr<OrderReply>& reply) {
-               if (*alive && !deposed_)
-                 OnStopReply(id, attempt, worker_id, reply);
-             });
+  const Fence fence = FenceOf(worker);
+  port_.Stop(
+      worker.entry, {id, run.attempt, fence}, kOrderTimeout,
+      [this, alive = alive_, id, attempt = run.attempt, worker_id = run.worker,
+       fence](const absl::StatusOr<OrderReply>& reply) {
+        if (*alive && !deposed_)
+          OnStopReply(id, attempt, worker_id, fence, reply);
+      });
 }
 
 void Dispatcher::OnStopReply(const TaskId& id,
                              Attempt attempt,
                              const WorkerId& worker_id,
+                             Fence fence,
                              const absl::StatusOr<OrderReply>& reply) {
   const TimePoint now = clock_.Now();
   Worker& worker = registry_.FindOrAdd(worker_id, now);
-  if (reply.ok() && reply->clock_ms)
+  if (reply.ok() && reply->clock_ms && !worker.PrecedesRestart(SeriesOf(fence)))
     worker.ObserveClock(*reply->clock_ms, now);
   if (reply.ok() && reply->result == OrderResult::kFenced) {
-    OnFencedByWorker();
-    return;
+    OnFencedByWorker(worker, fence);
+    if (deposed_)
+      return;
   }
   Run* const run = FindRun(id, attempt, worker_id);
   if (!run || run->phase != RunPhase::kStopping)
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -60,7 +60,7 @@
 
 void Dispatcher::SendSync(Worker& worker, TimePoint now) {
   SyncRequest request;
-  request.epoch = fencing_token_.epoch;
+  request.fence = FenceOf(worker);
   request.acknowledged_ends = worker.recorded_ends;
   // A worker that does not answer gets no further leases: each sync might still
   // be delivered late, so its runs could never be known to have expired.
@@ -79,20 +79,23 @@
   worker.sync_in_flight = true;
   port_.Sync(worker.entry, request, kSyncTimeout + request.wait,
              [this, alive = alive_, id = worker.entry.id, polls,
-              sent_event = ++last_event_, noted = request.acknowledged_ends](
+              series = worker.fence_series, sent_event = ++last_event_,
+              noted = request.acknowledged_ends](
                  const absl::StatusOr<SyncReply>& reply) {
                if (!*alive || deposed_)
                  return;
                if (polls)
                  --polls_;
                Worker* const known = registry_.Find(id);
-               if (known && reply.ok() && reply->result == OrderResult::kDone)
+               if (known && reply.ok() && reply->result == OrderResult::kDone &&
+                   !known->PrecedesRestart(series))
                  known->acknowledged_ends = noted;
-               OnSyncReply(id, sent_event, reply);
+               OnSyncReply(id, series, sent_event, reply);
              });
 }
 
 void Dispatcher::OnSyncReply(const WorkerId& id,
+                             uint32_t series,
                              uint64_t sent_event,
                              const absl::StatusOr<SyncReply>& reply) {
   const TimePoint now = clock_.Now();
@@ -105,7 +108,7 @@
   if (!reply.ok() || (reply->result != OrderResult::kDone &&
                       reply->result != OrderResult::kFenced)) {
     if (!reply.ok() && !absl::IsUnavailable(reply.status()))
-      ++worker.unanswered_calls;
+      worker.RecordUnansweredCall();
     if (worker.sync_failures++ == 0) {
       LOG(WARNING) << "worker " << id << " cannot be synced: "
                    << (reply.ok() ? "it refused"
@@ -120,7 +123,17 @@
     return;
   }
   if (reply->result == OrderResult::kFenced) {
-    OnFencedByWorker();
+    OnFencedByWorker(worker, MakeFence(fencing_token_.epoch, series));
+    worker.next_sync = now;
+    return;
+  }
+  if (worker.PrecedesRestart(series) && reply->incarnation_start_wall_ms != 0 &&
+      reply->incarnation_start_wall_ms ==
+          worker.former_incarnation_start_wall_ms) {
+    LOG(INFO) << "worker " << id
+              << " answered before its restart: ignored: process="
+              << reply->incarnation_start_wall_ms;
+    worker.next_sync = now;
     return;
   }
   const bool news = !worker.synced || worker.sync_failures > 0;
@@ -141,6 +154,7 @@
     worker.ObserveClock(reply->clock_ms, now);
   if (reply->incarnation_start_wall_ms != 0)
     worker.entry.incarnation_start_wall_ms = reply->incarnation_start_wall_ms;
+  const bool has_settled = worker.RecordSync(series, now);
   ApplyEnds(worker, *reply, now);
   ApplyRuns(worker, *reply, sent_event, now);
   SettleLossesOf(id, reply->incarnation_start_wall_ms, now);
@@ -153,7 +167,7 @@
     worker.next_sync = now + kUnpolledSyncInterval;
   else
     worker.next_sync = now;
-  if (news)
+  if (news || has_settled)
     pass_due_ = true;
   due_workers_.insert(id);
   Pump(now);
@@ -489,7 +503,7 @@
   LOG(WARNING) << "worker " << worker.entry.id << " runs task "
                << ToString(listed.task) << " attempt=" << listed.attempt
                << " that is not assigned to it; stopping it";
-  port_.Stop(worker.entry, {listed.task, listed.attempt, fencing_token_.epoch},
+  port_.Stop(worker.entry, {listed.task, listed.attempt, FenceOf(worker)},
              kOrderTimeout,
              [id = worker.entry.id](const absl::StatusOr<OrderReply>& reply) {
                // The next sync lists the run again if it goes on.
--- a/servers/batch/lease_handover.cc
+++ b/servers/batch/lease_handover.cc
@@ -52,7 +52,7 @@
 void LeaseHandover::Renew(size_t index, TimePoint now) {
   Worker& worker = workers_[index];
   SyncRequest request;
-  request.epoch = epoch_;
+  request.fence = MakeFence(epoch_, worker.fence_series);
   // Ends that are not in the store stay listed for the successor.
   request.acknowledged_ends = worker.acknowledged_ends;
   const Duration left = limit_ - now;
@@ -75,6 +75,8 @@
   Worker& worker = workers_[index];
   worker.sync_in_flight = false;
   if (!reply.ok()) {
+    if (!absl::IsUnavailable(reply.status()))
+      worker.RecordUnansweredCall();
     worker.next_sync = now + kRetryInterval;
     return;
   }
--- a/servers/batch/worker_port.h
+++ b/servers/batch/worker_port.h
@@ -17,10 +17,27 @@
 // A worker answers an order within a few milliseconds.
 inline constexpr Duration kOrderTimeout{150};
 
+// Workers refuse calls below the highest fence that they have seen.
+using Fence = Ordinal<struct FenceTag>;
+
+// Low bits of a fence, which count the fences of one leader. JSON numbers are
+// exact up to 53 bits, which leaves 29 bits for epochs.
+inline constexpr int kFenceSeriesBits = 24;
+inline constexpr uint32_t kMaxFenceSeries = (1U << kFenceSeriesBits) - 1;
+
+// Every fence of a later epoch is higher than those of earlier ones.
+constexpr Fence MakeFence(Epoch epoch, uint32_t series) {
+  return Fence((epoch.value() << kFenceSeriesBits) | series);
+}
+
+constexpr uint32_t SeriesOf(Fence fence) {
+  return static_cast<uint32_t>(fence.value()) & kMaxFenceSeries;
+}
+
 struct StartOrder {
   TaskId task;
   Attempt attempt;
-  Epoch epoch;
+  Fence fence;
   std::string payload;
   std::string checkpoint;      // Empty: from the beginning.
   int64_t lease_until_ms = 0;  // On the worker's clock, for all it runs.
@@ -29,12 +46,12 @@
 struct StopOrder {
   TaskId task;
   Attempt attempt;
-  Epoch epoch;
+  Fence fence;
 };
 
 enum class OrderResult {
   kDone,              // Started, or there already; stopped, or not there.
-  kFenced,            // A newer epoch has given orders.
+  kFenced,            // A higher fence was seen; nothing was done.
   kSuperseded,        // This or a higher attempt was stopped or has ended.
   kLeaseInPast,       // Nothing was started.
   kNoRoom,            // Nothing was started.
@@ -51,7 +68,7 @@
 };
 
 struct SyncRequest {
-  Epoch epoch;
+  Fence fence;
   int64_t acknowledged_ends = 0;  // Ends up to this number may be forgotten.
   std::optional<int64_t> lease_until_ms;
   Duration wait{0};  // The answer may wait so long for an end.
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -26,14 +26,18 @@
 }
 
 int64_t Worker::GrantLease(TimePoint now, Duration length, const char* order) {
-  const auto longest = static_cast<int64_t>(std::ceil(
-      static_cast<double>(LongestEffect(length).count()) / kSlowestClock));
-  leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
+  CountLease(now, LongestEffect(length));
   last_grant = {order, now, EstimateClock(now) + length.count(),
                 entry.incarnation_start_wall_ms};
   return last_grant.until_ms;
 }
 
+void Worker::CountLease(TimePoint now, Duration length) {
+  const auto longest = static_cast<int64_t>(
+      std::ceil(static_cast<double>(length.count()) / kSlowestClock));
+  leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
+}
+
 void Worker::ObserveClock(int64_t clock, TimePoint now) {
   if (has_clock && clock + kClockFallbackMs < EstimateClock(now)) {
     LOG(INFO) << "clock of worker " << entry.id
@@ -57,7 +61,13 @@
             << entry.incarnation_start_wall_ms
             << " present=" << incarnation_start_wall_ms
             << " former_calls=" << former_calls;
+  // An unknown start only tells that the known process has ended.
+  if (entry.incarnation_start_wall_ms != 0)
+    former_incarnation_start_wall_ms = entry.incarnation_start_wall_ms;
   entry.incarnation_start_wall_ms = incarnation_start_wall_ms;
+  RaiseFence();
+  settling_series = fence_series;
+  settled = false;
   has_ended = true;
   has_clock = false;
   recorded_ends = 0;
@@ -68,6 +78,31 @@
   sync_soon = true;
 }
 
+void Worker::RaiseFence() {
+  if (fence_series < kMaxFenceSeries)
+    ++fence_series;
+  else
+    LOG(ERROR) << "worker " << entry.id << " has had the last fence of this "
+               << "epoch; late calls cannot be excluded any more";
+}
+
+void Worker::RecordUnansweredCall() {
+  ++unanswered_calls;
+  RaiseFence();
+}
+
+bool Worker::RecordSync(uint32_t series, TimePoint now) {
+  if (series == fence_series)
+    unanswered_calls = 0;
+  if (settled || PrecedesRestart(series))
+    return false;
+  settled = true;
+  former_calls = 0;
+  // Until now, calls for a former process may have prolonged its leases.
+  CountLease(now, kLongestLease);
+  return true;
+}
+
 void Worker::RecordAnswer(TimePoint now) {
   heard_at = now;
   has_ended = false;
@@ -112,7 +147,7 @@
 }
 
 bool Worker::IsUsable(TimePoint now) const {
-  return listed && synced && has_clock && !entry.draining &&
+  return listed && synced && settled && has_clock && !entry.draining &&
          now >= full_until && !health.IsOnProbation(now) &&
          sync_failures < kUnreachableSyncs;
 }
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -51,6 +51,14 @@
   // Some answer came under the present epoch, so that orders of former leaders
   // are refused there.
   bool synced = false;
+  // Part of the fence of its calls. Raised so that it refuses calls that have
+  // had no answer, and those that were meant for a former process.
+  uint32_t fence_series = 0;
+  // No call of before the last restart can act on its present process, which
+  // has answered under a fence of `settling_series` or later.
+  bool settled = false;
+  uint32_t settling_series = 0;
+  int64_t former_incarnation_start_wall_ms = 0;
   bool has_clock = false;
   int64_t clock_ms = 0;  // The worker's clock at `clock_at`.
   TimePoint clock_at;
@@ -118,6 +126,16 @@
   // when its start is not known yet.
   void ResetForIncarnation(int64_t incarnation_start_wall_ms);
 
+  // A call that may have been sent has had no answer.
+  void RecordUnansweredCall();
+  // A sync of this series was answered by the present process. Whether this
+  // settles the worker.
+  bool RecordSync(uint32_t series, TimePoint now);
+  // Whether a call of this series was sent before the last restart was known,
+  // so that its answer may come from the former process.
+  bool PrecedesRestart(uint32_t series) const {
+    return series < settling_series;
+  }
   void RecordAnswer(TimePoint now);
   // Whether it has answered long enough after it started the run to rule out
   // that the start makes it crash.
@@ -132,6 +150,11 @@
   void RecordUnreachable();
   // Whether it may be given tasks as far as its own state goes.
   bool IsUsable(TimePoint now) const;
+
+ private:
+  // Counts a lease of this length, granted now, on the slowest clock.
+  void CountLease(TimePoint now, Duration length);
+  void RaiseFence();
 };
 
 class WorkerRegistry {
--- a/standins/fleet/fleet_servers.cc
+++ b/standins/fleet/fleet_servers.cc
@@ -169,7 +169,7 @@
 
 batch::SyncRequest DecodeSync(const json& body) {
   batch::SyncRequest request;
-  request.epoch = Epoch(body.value("fence", uint64_t{0}));
+  request.fence = batch::Fence(body.value("fence", uint64_t{0}));
   request.acknowledged_ends = body.value("last_seen", int64_t{0});
   if (body.contains("until_ms"))
     request.lease_until_ms = body["until_ms"].get<int64_t>();
@@ -269,17 +269,17 @@
     return;
   }
   const Attempt attempt(body.value("attempt", uint64_t{0}));
-  const Epoch epoch(body.value("fence", uint64_t{0}));
+  const batch::Fence fence(body.value("fence", uint64_t{0}));
   if (is_sync) {
     workers_.Sync(entry_, DecodeSync(body), kPatience, RespondToSync(reply));
   } else if (request.path == "/api/run-start") {
     workers_.Start(
         entry_,
-        {task, attempt, epoch, body.value("spec", ""),
+        {task, attempt, fence, body.value("spec", ""),
          body.value("checkpoint", ""), body.value("until_ms", int64_t{0})},
         kPatience, RespondToOrder(reply));
   } else if (request.path == "/api/run-stop") {
-    workers_.Stop(entry_, {task, attempt, epoch}, kPatience,
+    workers_.Stop(entry_, {task, attempt, fence}, kPatience,
                   RespondToOrder(reply));
   } else {
     Respond(reply, http_status::kNotFound);
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -217,12 +217,12 @@
     done(absl::UnavailableError("connection refused"));
     return;
   }
-  if (request.epoch < here.fence) {
+  if (request.fence < here.fence) {
     done(batch::SyncReply{.result = OrderResult::kFenced,
                           .clock_ms = ClockOf(here)});
     return;
   }
-  here.fence = request.epoch;
+  here.fence = request.fence;
   if (request.lease_until_ms)
     ExtendLease(here, *request.lease_until_ms);
   for (const batch::ListedEnd& it : here.ends) {
@@ -309,9 +309,9 @@
     reply.result = result;
     return reply;
   };
-  if (order.epoch < worker.fence)
+  if (order.fence < worker.fence)
     return refuse(OrderResult::kFenced);
-  worker.fence = order.epoch;
+  worker.fence = order.fence;
   if (const auto it = worker.runs.find(order.task);
       it != worker.runs.end() && it->second.attempt == order.attempt) {
     if (order.lease_until_ms > ClockOf(worker))
@@ -418,11 +418,11 @@
 OrderReply ModelWorkers::CarryOutStop(ModelWorker& worker,
                                       const batch::StopOrder& order) {
   OrderReply reply{.clock_ms = ClockOf(worker)};
-  if (order.epoch < worker.fence) {
+  if (order.fence < worker.fence) {
     reply.result = OrderResult::kFenced;
     return reply;
   }
-  worker.fence = order.epoch;
+  worker.fence = order.fence;
   Attempt& tombstone = worker.tombstones[order.task];
   tombstone = std::max(tombstone, order.attempt);
   const auto it = worker.runs.find(order.task);
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -148,7 +148,7 @@
     bool contacted = false;  // A call has reached this life in time.
     bool cut_off = false;    // Its connections are reset and refused.
     TimePoint clock_start;   // When the worker's clock showed 0.
-    Epoch fence;
+    batch::Fence fence;
     TimePoint lease_until;
     std::map<batch::TaskId, ModelRun> runs;
     std::map<batch::TaskId, Attempt> tombstones;
--- a/tests/batch/pending_count_test.cc
+++ b/tests/batch/pending_count_test.cc
@@ -232,10 +232,13 @@
   fixture.workers.faults(worker.id).silent = false;
   fixture.workers.faults(worker.id).refuses = true;
   bool stopped = false;
-  fixture.workers.Stop(
-      worker, {Task(kJob, 0), Attempt(1), fixture.nodes[0].leadership->epoch()},
-      Duration(100),
-      [&](const absl::StatusOr<OrderReply>& it) { stopped = it.ok(); });
+  fixture.workers.Stop(worker,
+                       {Task(kJob, 0), Attempt(1),
+                        MakeFence(fixture.nodes[0].leadership->epoch(), 0)},
+                       Duration(100),
+                       [&](const absl::StatusOr<OrderReply>& it) {
+                         stopped = it.ok() && it->result == OrderResult::kDone;
+                       });
   fixture.Run(Duration(4'000));
   REQUIRE(stopped);
   REQUIRE(fixture.workers.total_starts() == 0);
--- a/tests/platform/http_test.cc
+++ b/tests/platform/http_test.cc
@@ -158,7 +158,7 @@
   batch::StartOrder order;
   order.task = {JobId("5c0e7a21d94b36f8"), 0, 1, 17};
   order.attempt = Attempt(2);
-  order.epoch = Epoch(7);
+  order.fence = batch::Fence(7);
   order.lease_until_ms = 486'000;
   const auto start = [&] {
     return peer.Await<batch::OrderReply>([&](auto done) {
@@ -197,7 +197,7 @@
                    R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
                    R"([59,"5c0e7a21d94b36f8.0.1.9",1,"odd",""]]})");
   batch::SyncRequest request;
-  request.epoch = Epoch(7);
+  request.fence = batch::Fence(7);
   request.acknowledged_ends = 57;
   request.wait = Duration(1'000);
   const auto reply = peer.Await<batch::SyncReply>([&](auto done) {
@@ -227,7 +227,7 @@
                            {"finished", finished}})
                          .dump());
     return peer.Await<batch::SyncReply>([&](auto done) {
-      workers.Sync(MakeWorker(peer), {.epoch = Epoch(7)}, kLongTimeout,
+      workers.Sync(MakeWorker(peer), {.fence = batch::Fence(7)}, kLongTimeout,
                    std::move(done));
     });
   };
