Start a task nowhere while a restarted worker may hold a run of it

Callers saw a task run twice, or start after its end: a start without an answer was carried out by the next process of its worker, while the leader, which knew of the restart, had given the run up by the clock and started the task elsewhere. Also, a run that a worker listed without being assigned to it was stopped, but the task could start elsewhere before that stop had taken effect.

Starts without an answer are remembered for as long as they can act (12.5 s, and the longest lease). Their tasks wait while the worker is known to have restarted and has not answered under the raised fence. A run that is not assigned, as well as one confirmed by a process that is not settled, keeps its task from starting until the worker no longer lists it or its leases have expired.

--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -87,7 +87,7 @@
   // The run has ended once every lease of its worker has expired. Before the
   // first order is sent, the worker's last lease does not cover the run.
   const bool lease_expired = run.ordered && now > worker.leases_end;
-  if (lease_expired) {
+  if (lease_expired && !worker.MayOutlastLeases(run, now)) {
     MarkRunLost(job, id, run.attempt, "the worker's leases have expired");
     return;
   }
@@ -170,7 +170,7 @@
     worker.RecordAnswer(now);
   }
   if (!reply.ok() && !absl::IsUnavailable(reply.status()))
-    worker.RecordUnansweredCall();
+    worker.RecordUnansweredStart(id, now);
   Run* const run = FindRun(id, attempt, worker_id);
   if (!run)
     return;
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -165,6 +165,9 @@
   std::map<ServiceName, ServiceVictims> victims;
   // Services in which a gang that may not stop other runs holds workers.
   std::set<ServiceName> held;
+  // Tasks of which some worker holds, or may come to hold, a run that is not
+  // assigned to it.
+  std::set<TaskId> strays;
 };
 
 void Dispatcher::RunPass(TimePoint now) {
@@ -184,6 +187,13 @@
   for (auto& [id, worker] : registry_.workers()) {
     worker.used = Resources();
     worker.has_unproven_run = worker.has_suspect_run = false;
+    if (pass.now <= worker.leases_end)
+      pass.strays.insert(worker.strays.begin(), worker.strays.end());
+    worker.ForgetOldStarts(pass.now);
+    for (const auto& [task, sent_at] : worker.open_starts) {
+      if (worker.MayRunOpenStart(sent_at, pass.now))
+        pass.strays.insert(task);
+    }
   }
   for (const JobId& id : live_) {
     Job& job = *jobs_.at(id);
@@ -285,7 +295,9 @@
         std::vector<int> suspects;
         for (size_t n = 0; n < step.tasks.size(); ++n) {
           const TaskProgress& task = step.tasks[n];
-          if (task.done || task.run)
+          const TaskId task_id{job_id, id.occurrence, id.step,
+                               static_cast<int>(n)};
+          if (task.done || task.run || pass.strays.contains(task_id))
             continue;
           unit.suspect = unit.suspect || task.is_suspect();
           // A gang without this task is not whole and waits as well.
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -44,7 +44,7 @@
   // are taken for lost, until it answers.
   const bool unheard = worker.listed && worker.sync_failures > 0;
   const bool wanted = unheard || worker.runs > 0 || worker.sync_soon ||
-                      !worker.pending_ends.empty() ||
+                      !worker.strays.empty() || !worker.pending_ends.empty() ||
                       worker.acknowledged_ends < worker.recorded_ends;
   if (wanted)
     SendSync(worker, now);
@@ -145,7 +145,7 @@
       knows_incarnation && reply->incarnation_start_wall_ms !=
                                worker.entry.incarnation_start_wall_ms;
   if (restarted) {
-    worker.ResetForIncarnation(reply->incarnation_start_wall_ms);
+    worker.ResetForIncarnation(reply->incarnation_start_wall_ms, now);
     speeds_.Forget(id);
   }
   if (knows_incarnation)
@@ -340,10 +340,14 @@
                            uint64_t sent_event,
                            TimePoint now) {
   std::set<std::pair<TaskId, Attempt>> listed;
+  // Their tasks may start elsewhere unless they are listed again.
+  pass_due_ = pass_due_ || !worker.strays.empty();
+  worker.strays.clear();
   for (const ListedRun& it : reply.runs) {
     listed.emplace(it.task, it.attempt);
     Run* const run = FindRun(it.task, it.attempt, worker.entry.id);
     if (!run) {
+      worker.RecordStray(it.task, now);
       StopUnassignedRun(worker, it);
       continue;
     }
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -15,6 +15,8 @@
 constexpr int kUnreachableSyncs = 2;
 // A clock that falls back by more than this belongs to a new incarnation.
 constexpr int64_t kClockFallbackMs = 1'000;
+// Calls without an answer have been carried out up to 12 s later.
+constexpr Duration kLatestCall{12'500};
 // A task that makes its worker crash does so within this time of its start.
 constexpr Duration kCrashWindow{1'000};
 
@@ -44,7 +46,7 @@
               << " went backwards, treated as a new incarnation";
     // Its next list of runs or its entry tells when it started, and must not
     // look like a further restart.
-    ResetForIncarnation(0);
+    ResetForIncarnation(0, now);
   }
   SetClock(clock, now);
 }
@@ -55,7 +57,8 @@
   clock_at = now;
 }
 
-void Worker::ResetForIncarnation(int64_t incarnation_start_wall_ms) {
+void Worker::ResetForIncarnation(int64_t incarnation_start_wall_ms,
+                                 TimePoint now) {
   former_calls += std::exchange(unanswered_calls, 0);
   LOG(INFO) << "worker " << entry.id << " has a new incarnation: former="
             << entry.incarnation_start_wall_ms
@@ -68,12 +71,14 @@
   RaiseFence();
   settling_series = fence_series;
   settled = false;
+  restarted_at = now;
   has_ended = true;
   has_clock = false;
   recorded_ends = 0;
   applied_ends = 0;
   acknowledged_ends = 0;
   pending_ends.clear();
+  strays.clear();
   health = WorkerHealth();
   sync_soon = true;
 }
@@ -103,11 +108,41 @@
   return true;
 }
 
+void Worker::RecordStray(const TaskId& task, TimePoint now) {
+  strays.insert(task);
+  // The call that started it was not counted for this process.
+  CountLease(now, kLongestLease);
+}
+
 void Worker::RecordAnswer(TimePoint now) {
   heard_at = now;
   has_ended = false;
 }
 
+void Worker::RecordUnansweredStart(const TaskId& task, TimePoint now) {
+  RecordUnansweredCall();
+  open_starts[task] = now;
+}
+
+void Worker::ForgetOldStarts(TimePoint now) {
+  std::erase_if(open_starts, [&](const auto& it) {
+    return now > it.second + kLatestCall + kLongestLease;
+  });
+}
+
+bool Worker::MayRunOpenStart(TimePoint sent_at, TimePoint now) const {
+  const bool has_restarted = restarted_at != TimePoint();
+  return has_restarted && !settled &&
+         now <= sent_at + kLatestCall + kLongestLease;
+}
+
+bool Worker::MayOutlastLeases(const Run& run, TimePoint now) const {
+  const bool has_restarted = restarted_at != TimePoint();
+  // Runs that were confirmed before have ended with the former process.
+  return has_restarted && !settled && run.started_at >= restarted_at &&
+         now <= restarted_at + kLatestCall + kLongestLease;
+}
+
 bool Worker::HasSurvivedStart(const Run& run) const {
   return run.ordered && heard_at >= run.ordered_at + kCrashWindow;
 }
@@ -174,7 +209,7 @@
   if (!reborn && known_start != 0)
     worker.entry.incarnation_start_wall_ms = known_start;
   if (reborn)
-    worker.ResetForIncarnation(entry.incarnation_start_wall_ms);
+    worker.ResetForIncarnation(entry.incarnation_start_wall_ms, now);
   return worker;
 }
 
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -59,6 +59,7 @@
   bool settled = false;
   uint32_t settling_series = 0;
   int64_t former_incarnation_start_wall_ms = 0;
+  TimePoint restarted_at;  // When the last restart became known.
   bool has_clock = false;
   int64_t clock_ms = 0;  // The worker's clock at `clock_at`.
   TimePoint clock_at;
@@ -99,6 +100,12 @@
   bool has_unanswered_start = false;
   // Tasks with a run there, as of the last tick.
   std::vector<TaskId> assigned;
+  // Tasks of which it last listed a run that is not assigned to it. They start
+  // nowhere until it lists the run no more, or its leases have expired.
+  std::set<TaskId> strays;
+  // Starts that had no answer, and when they were last sent. A later process of
+  // the worker may carry them out.
+  std::map<TaskId, TimePoint> open_starts;
   Resources used;  // By all runs and reservations; recounted for a pass.
   // Recounted for a pass: it has not been heard since it started some run, and
   // this run is of a suspect task.
@@ -124,10 +131,14 @@
   void SetClock(int64_t clock, TimePoint now);
   // Resets the state for a new incarnation, whose end numbers start again. 0
   // when its start is not known yet.
-  void ResetForIncarnation(int64_t incarnation_start_wall_ms);
+  void ResetForIncarnation(int64_t incarnation_start_wall_ms, TimePoint now);
 
   // A call that may have been sent has had no answer.
   void RecordUnansweredCall();
+  void RecordUnansweredStart(const TaskId& task, TimePoint now);
+  void ForgetOldStarts(TimePoint now);
+  // Whether it may come to run an open start before it is heard again.
+  bool MayRunOpenStart(TimePoint sent_at, TimePoint now) const;
   // A sync of this series was answered by the present process. Whether this
   // settles the worker.
   bool RecordSync(uint32_t series, TimePoint now);
@@ -136,7 +147,11 @@
   bool PrecedesRestart(uint32_t series) const {
     return series < settling_series;
   }
+  void RecordStray(const TaskId& task, TimePoint now);
   void RecordAnswer(TimePoint now);
+  // Whether the present process may hold the run beyond `leases_end`, since a
+  // call for a former one may prolong it there.
+  bool MayOutlastLeases(const Run& run, TimePoint now) const;
   // Whether it has answered long enough after it started the run to rule out
   // that the start makes it crash.
   bool HasSurvivedStart(const Run& run) const;
--- a/tests/batch/former_calls_test.cc
+++ b/tests/batch/former_calls_test.cc
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 
@@ -44,6 +46,10 @@
   WorkerId id;
 };
 
+bool IsFinal(JobPhase phase) {
+  return phase != JobPhase::kQueued && phase != JobPhase::kRunning;
+}
+
 }  // namespace
 
 // Guards against a lease that a call prolongs for a process that it was not
@@ -92,6 +98,51 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against a task that starts elsewhere while its worker, known to have
+// restarted and out of reach, can still carry out a start of before.
+TEST_CASE("A late start for a former process does not make a task run twice") {
+  FormerCallsFixture fixture;
+  fixture.workers.faults(fixture.id).late_orders = 1;
+  fixture.workers.faults(fixture.id).lateness = Duration(7'000);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  for (int n = 0; n < 100 && fixture.workers.faults(fixture.id).late_orders > 0;
+       ++n)
+    fixture.Run(Duration(10));
+  fixture.SetReach(false);
+  fixture.workers.Crash(fixture.id);
+  fixture.ListSecondWorker();
+  fixture.Run(Duration(12'000));
+  CHECK(fixture.workers.violations().empty());
+  SUBCASE("in reach again") {
+    fixture.SetReach(true);
+  }
+  SUBCASE("out of reach for good") {}
+  fixture.Run(Duration(15'000));
+  CHECK(fixture.workers.violations().empty());
+  CHECK(fixture.workers.IsRunning(Task(kJob, 0)));
+}
+
+// Guards against a task that starts while a worker lists a run of it that a
+// late call has started.
+TEST_CASE("A task does not start while another worker lists a run of it") {
+  FormerCallsFixture fixture;
+  fixture.workers.faults(fixture.id).late_orders = 1;
+  fixture.workers.faults(fixture.id).lateness = Duration(6'500);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  fixture.AwaitStarts(kJob, 1);
+  fixture.Run(Duration(100));
+  fixture.SetReach(false);
+  fixture.workers.Crash(fixture.id);
+  fixture.ListSecondWorker();
+  fixture.AwaitStarts(kJob, 2);
+  fixture.SetReach(true);
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 3);
+  CHECK(fixture.workers.IsRunning(Task(kJob, 0)));
+  CHECK(fixture.workers.violations().empty());
+  CHECK(fixture.workers.violations_before_contact().empty());
+}
+
 // Guards against a leader that takes the refusal of a call, which a later call
 // of its own has overtaken, for that of a newer leader.
 TEST_CASE("A call that its own leader has overtaken does not depose it") {
@@ -126,4 +177,54 @@
   CHECK(worker.fence_series == kMaxFenceSeries);
 }
 
+// Guards against any order of restarts, cuts and late calls in which a task
+// runs twice, starts after its noted end, or is never finished.
+TEST_CASE("Random calls for former processes break no promise") {
+  for (uint32_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto draw = [&random](int low, int high) {
+      return static_cast<int>(random() % static_cast<uint32_t>(high - low)) +
+             low;
+    };
+    LeaderFixture fixture(2, 2);
+    fixture.workers.set_crash_style(ModelWorkers::CrashStyle::kSilent, kOutage);
+    for (const WorkerEntry& it : fixture.listed)
+      fixture.workers.faults(it.id).orders_outlive_restart = true;
+    bool trouble = true;
+    fixture.workers.set_lateness([&]() -> std::optional<Duration> {
+      if (!trouble || draw(0, 2) == 0)
+        return std::nullopt;
+      return Duration(draw(2'000, 12'000));
+    });
+    int jobs = 0;
+    const auto name = [](int n) {
+      return std::string("00000000000001") + std::to_string(10 + n);
+    };
+    for (int step = 0; step < 40; ++step) {
+      if (step % 3 == 0) {
+        fixture.run_time = Duration(draw(300, 12'000));
+        fixture.Submit(name(jobs++), MakeJob(draw(1, 4), 4, false));
+      }
+      std::set<WorkerId> cut;
+      for (const WorkerEntry& it : std::vector<WorkerEntry>(fixture.listed)) {
+        if (fixture.workers.IsUp(it.id) && draw(0, 12) == 0)
+          fixture.workers.Crash(it.id);
+        if (draw(0, 4) == 0)
+          cut.insert(it.id);
+      }
+      if (step % 4 == 0)
+        fixture.nodes[0].workers->set_cut(cut);
+      fixture.Run(Duration(draw(300, 2'000)));
+    }
+    trouble = false;
+    fixture.nodes[0].workers->set_cut({});
+    fixture.Run(Duration(60'000));
+    for (const std::string& it : fixture.workers.violations())
+      FAIL_CHECK(it);
+    for (int n = 0; n < jobs; ++n)
+      CHECK(IsFinal(fixture.State(name(n)).phase));
+  }
+}
+
 }  // namespace quetzalshelf::batch
