Acknowledge each end of a worker once

Every sync repeated the number of the last acknowledged end, also the renewals of a hand-over. Carried out late by the next process of the worker, whose ends are numbered anew, such a sync makes it forget ends that nobody has read: a task that is done starts again. A sync without new ends to acknowledge carries no number now, nor does a hand-over.

--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -61,7 +61,10 @@
 void Dispatcher::SendSync(Worker& worker, TimePoint now) {
   SyncRequest request;
   request.fence = FenceOf(worker);
-  request.acknowledged_ends = worker.recorded_ends;
+  // A repeated acknowledgement would forget nothing here, but unread ends of
+  // the next process if it is carried out by that one.
+  if (worker.recorded_ends > worker.acknowledged_ends)
+    request.acknowledged_ends = worker.recorded_ends;
   // A worker that does not answer gets no further leases: each sync might still
   // be delivered late, so its runs could never be known to have expired.
   const Duration lease = std::min(kLeaseLength, MaxLease(now));
@@ -89,7 +92,8 @@
                Worker* const known = registry_.Find(id);
                if (known && reply.ok() && reply->result == OrderResult::kDone &&
                    !known->PrecedesRestart(series))
-                 known->acknowledged_ends = noted;
+                 known->acknowledged_ends =
+                     std::max(known->acknowledged_ends, noted);
                OnSyncReply(id, series, sent_event, reply);
              });
 }
--- a/servers/batch/lease_handover.cc
+++ b/servers/batch/lease_handover.cc
@@ -53,8 +53,8 @@
   Worker& worker = workers_[index];
   SyncRequest request;
   request.fence = MakeFence(epoch_, worker.fence_series);
-  // Ends that are not in the store stay listed for the successor.
-  request.acknowledged_ends = worker.acknowledged_ends;
+  // No end is acknowledged: those that are not in the store stay listed for the
+  // successor.
   const Duration left = limit_ - now;
   const Duration lease = std::min(kLeaseLength, left);
   if (worker.LongestEffect(lease) <= left)
--- a/tests/batch/former_calls_test.cc
+++ b/tests/batch/former_calls_test.cc
@@ -143,6 +143,19 @@
   CHECK(fixture.workers.violations_before_contact().empty());
 }
 
+// Guards against acknowledgements that a later process could carry out, sent
+// again and again although the worker has forgotten the ends already.
+TEST_CASE("An end is acknowledged once") {
+  FormerCallsFixture fixture;
+  fixture.run_time = Duration(300);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  fixture.RunUntilFinal(kJob, Duration(3'000));
+  fixture.run_time = Duration(60'000);
+  fixture.Submit(kOtherJob, MakeJob(1, 8, false));
+  fixture.Run(Duration(5'000));
+  CHECK(fixture.nodes[0].workers->acknowledgements() == 1);
+}
+
 // Guards against a leader that takes the refusal of a call, which a later call
 // of its own has overtaken, for that of a newer leader.
 TEST_CASE("A call that its own leader has overtaken does not depose it") {
