--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -44,7 +44,7 @@
   // are taken for lost, until it answers.
   const bool unheard = worker.listed && worker.sync_failures > 0;
   const bool wanted = unheard || worker.runs > 0 || worker.sync_soon ||
-                      !worker.pending_ends.empty() ||
+                      !worker.strays.empty() || !worker.pending_ends.empty() ||
                       worker.acknowledged_ends < worker.recorded_ends;
   if (wanted)
     SendSync(worker, now);
@@ -60,14 +60,17 @@
 
 void Dispatcher::SendSync(Worker& worker, TimePoint now) {
   SyncRequest request;
-  request.epoch = fencing_token_.epoch;
-  request.acknowledged_ends = worker.recorded_ends;
+  request.fence = FenceOf(worker);
+  // A repeated acknowledgement would forget nothing here, but unread ends of
+  // the next process if it is carried out by that one.
+  if (worker.recorded_ends > worker.acknowledged_ends)
+    request.acknowledged_ends = worker.recorded_ends;
   // A worker that does not answer gets no further leases: each sync might still
   // be delivered late, so its runs could never be known to have expired.
   const Duration lease = std::min(kLeaseLength, MaxLease(now));
   if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0 &&
       lease > Duration(0) && worker.LongestEffect(lease) <= MaxLease(now))
-    request.lease_until_ms = worker.GrantLease(now, lease);
+    request.lease_until_ms = worker.GrantLease(now, lease, "sync");
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
   const bool polls = may_wait && polls_ < options_.max_polls;
@@ -79,20 +82,24 @@
   worker.sync_in_flight = true;
   port_.Sync(worker.entry, request, kSyncTimeout + request.wait,
              [this, alive = alive_, id = worker.entry.id, polls,
-              sent_event = ++last_event_, noted = request.acknowledged_ends](
+              series = worker.fence_series, sent_event = ++last_event_,
+              noted = request.acknowledged_ends](
                  const absl::StatusOr<SyncReply>& reply) {
                if (!*alive || deposed_)
                  return;
                if (polls)
                  --polls_;
                Worker* const known = registry_.Find(id);
-               if (known && reply.ok() && reply->result == OrderResult::kDone)
-                 known->acknowledged_ends = noted;
-               OnSyncReply(id, sent_event, reply);
+               if (known && reply.ok() && reply->result == OrderResult::kDone &&
+                   !known->PrecedesRestart(series))
+                 known->acknowledged_ends =
+                     std::max(known->acknowledged_ends, noted);
+               OnSyncReply(id, series, sent_event, reply);
              });
 }
 
 void Dispatcher::OnSyncReply(const WorkerId& id,
+                             uint32_t series,
                              uint64_t sent_event,
                              const absl::StatusOr<SyncReply>& reply) {
   const TimePoint now = clock_.Now();
@@ -104,10 +111,13 @@
   }
   if (!reply.ok() || (reply->result != OrderResult::kDone &&
                       reply->result != OrderResult::kFenced)) {
+    if (!reply.ok() && !absl::IsUnavailable(reply.status()))
+      worker.RecordUnansweredCall();
     if (worker.sync_failures++ == 0) {
       LOG(WARNING) << "worker " << id << " cannot be synced: "
                    << (reply.ok() ? "it refused"
-                                  : std::string(reply.status().message()));
+                                  : std::string(reply.status().message()))
+                   << ": " << worker.DescribeLease(now);
     }
     // Another worker has its address, so its process has ended. A connection
     // that breaks or is refused may be the network's doing.
@@ -117,7 +127,17 @@
     return;
   }
   if (reply->result == OrderResult::kFenced) {
-    OnFencedByWorker();
+    OnFencedByWorker(worker, MakeFence(fencing_token_.epoch, series));
+    worker.next_sync = now;
+    return;
+  }
+  if (worker.PrecedesRestart(series) && reply->incarnation_start_wall_ms != 0 &&
+      reply->incarnation_start_wall_ms ==
+          worker.former_incarnation_start_wall_ms) {
+    LOG(INFO) << "worker " << id
+              << " answered before its restart: ignored: process="
+              << reply->incarnation_start_wall_ms;
+    worker.next_sync = now;
     return;
   }
   const bool news = !worker.synced || worker.sync_failures > 0;
@@ -129,8 +149,7 @@
       knows_incarnation && reply->incarnation_start_wall_ms !=
                                worker.entry.incarnation_start_wall_ms;
   if (restarted) {
-    LOG(INFO) << "worker " << id << " has a new incarnation";
-    worker.ResetForIncarnation(reply->incarnation_start_wall_ms);
+    worker.ResetForIncarnation(reply->incarnation_start_wall_ms, now);
     speeds_.Forget(id);
   }
   if (knows_incarnation)
@@ -139,6 +158,7 @@
     worker.ObserveClock(reply->clock_ms, now);
   if (reply->incarnation_start_wall_ms != 0)
     worker.entry.incarnation_start_wall_ms = reply->incarnation_start_wall_ms;
+  const bool has_settled = worker.RecordSync(series, now);
   ApplyEnds(worker, *reply, now);
   ApplyRuns(worker, *reply, sent_event, now);
   SettleLossesOf(id, reply->incarnation_start_wall_ms, now);
@@ -151,7 +171,7 @@
     worker.next_sync = now + kUnpolledSyncInterval;
   else
     worker.next_sync = now;
-  if (news)
+  if (news || has_settled)
     pass_due_ = true;
   due_workers_.insert(id);
   Pump(now);
@@ -324,10 +344,14 @@
                            uint64_t sent_event,
                            TimePoint now) {
   std::set<std::pair<TaskId, Attempt>> listed;
+  // Their tasks may start elsewhere unless they are listed again.
+  pass_due_ = pass_due_ || !worker.strays.empty();
+  worker.strays.clear();
   for (const ListedRun& it : reply.runs) {
     listed.emplace(it.task, it.attempt);
     Run* const run = FindRun(it.task, it.attempt, worker.entry.id);
     if (!run) {
+      worker.RecordStray(it.task, now);
       StopUnassignedRun(worker, it);
       continue;
     }
@@ -487,7 +511,7 @@
   LOG(WARNING) << "worker " << worker.entry.id << " runs task "
                << ToString(listed.task) << " attempt=" << listed.attempt
                << " that is not assigned to it; stopping it";
-  port_.Stop(worker.entry, {listed.task, listed.attempt, fencing_token_.epoch},
+  port_.Stop(worker.entry, {listed.task, listed.attempt, FenceOf(worker)},
              kOrderTimeout,
              [id = worker.entry.id](const absl::StatusOr<OrderReply>& reply) {
                // The next sync lists the run again if it goes on.
--- a/servers/batch/lease_handover.cc
+++ b/servers/batch/lease_handover.cc
@@ -52,13 +52,13 @@
 void LeaseHandover::Renew(size_t index, TimePoint now) {
   Worker& worker = workers_[index];
   SyncRequest request;
-  request.epoch = epoch_;
-  // Ends that are not in the store stay listed for the successor.
-  request.acknowledged_ends = worker.acknowledged_ends;
+  request.fence = MakeFence(epoch_, worker.fence_series);
+  // No end is acknowledged: those that are not in the store stay listed for the
+  // successor.
   const Duration left = limit_ - now;
   const Duration lease = std::min(kLeaseLength, left);
   if (worker.LongestEffect(lease) <= left)
-    request.lease_until_ms = worker.GrantLease(now, lease);
+    request.lease_until_ms = worker.GrantLease(now, lease, "hand-over");
   worker.sync_in_flight = true;
   worker.next_sync = now + kRenewalInterval;
   port_.Sync(
@@ -75,6 +75,8 @@
   Worker& worker = workers_[index];
   worker.sync_in_flight = false;
   if (!reply.ok()) {
+    if (!absl::IsUnavailable(reply.status()))
+      worker.RecordUnansweredCall();
     worker.next_sync = now + kRetryInterval;
     return;
   }
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
+#include <utility>
 
 #include "core/logging.h"
 
@@ -13,6 +15,8 @@
 constexpr int kUnreachableSyncs = 2;
 // A clock that falls back by more than this belongs to a new incarnation.
 constexpr int64_t kClockFallbackMs = 1'000;
+// Calls without an answer have been carried out up to 12 s later.
+constexpr Duration kLatestCall{12'500};
 // A task that makes its worker crash does so within this time of its start.
 constexpr Duration kCrashWindow{1'000};
 
@@ -23,11 +27,17 @@
   return clock_ms + static_cast<int64_t>(std::floor(elapsed * kSlowestClock));
 }
 
-int64_t Worker::GrantLease(TimePoint now, Duration length) {
-  const auto longest = static_cast<int64_t>(std::ceil(
-      static_cast<double>(LongestEffect(length).count()) / kSlowestClock));
+int64_t Worker::GrantLease(TimePoint now, Duration length, const char* order) {
+  CountLease(now, LongestEffect(length));
+  last_grant = {order, now, EstimateClock(now) + length.count(),
+                entry.incarnation_start_wall_ms};
+  return last_grant.until_ms;
+}
+
+void Worker::CountLease(TimePoint now, Duration length) {
+  const auto longest = static_cast<int64_t>(
+      std::ceil(static_cast<double>(length.count()) / kSlowestClock));
   leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
-  return EstimateClock(now) + length.count();
 }
 
 void Worker::ObserveClock(int64_t clock, TimePoint now) {
@@ -36,7 +46,7 @@
               << " went backwards, treated as a new incarnation";
     // Its next list of runs or its entry tells when it started, and must not
     // look like a further restart.
-    ResetForIncarnation(0);
+    ResetForIncarnation(0, now);
   }
   SetClock(clock, now);
 }
@@ -47,23 +57,92 @@
   clock_at = now;
 }
 
-void Worker::ResetForIncarnation(int64_t incarnation_start_wall_ms) {
+void Worker::ResetForIncarnation(int64_t incarnation_start_wall_ms,
+                                 TimePoint now) {
+  former_calls += std::exchange(unanswered_calls, 0);
+  LOG(INFO) << "worker " << entry.id << " has a new incarnation: former="
+            << entry.incarnation_start_wall_ms
+            << " present=" << incarnation_start_wall_ms
+            << " former_calls=" << former_calls;
+  // An unknown start only tells that the known process has ended.
+  if (entry.incarnation_start_wall_ms != 0)
+    former_incarnation_start_wall_ms = entry.incarnation_start_wall_ms;
   entry.incarnation_start_wall_ms = incarnation_start_wall_ms;
+  RaiseFence();
+  settling_series = fence_series;
+  settled = false;
+  restarted_at = now;
   has_ended = true;
   has_clock = false;
   recorded_ends = 0;
   applied_ends = 0;
   acknowledged_ends = 0;
   pending_ends.clear();
+  strays.clear();
   health = WorkerHealth();
   sync_soon = true;
 }
 
+void Worker::RaiseFence() {
+  if (fence_series < kMaxFenceSeries)
+    ++fence_series;
+  else
+    LOG(ERROR) << "worker " << entry.id << " has had the last fence of this "
+               << "epoch; late calls cannot be excluded any more";
+}
+
+void Worker::RecordUnansweredCall() {
+  ++unanswered_calls;
+  RaiseFence();
+}
+
+bool Worker::RecordSync(uint32_t series, TimePoint now) {
+  if (series == fence_series)
+    unanswered_calls = 0;
+  if (settled || PrecedesRestart(series))
+    return false;
+  settled = true;
+  former_calls = 0;
+  // Until now, calls for a former process may have prolonged its leases.
+  CountLease(now, kLongestLease);
+  return true;
+}
+
+void Worker::RecordStray(const TaskId& task, TimePoint now) {
+  strays.insert(task);
+  // The call that started it was not counted for this process.
+  CountLease(now, kLongestLease);
+}
+
 void Worker::RecordAnswer(TimePoint now) {
   heard_at = now;
   has_ended = false;
 }
 
+void Worker::RecordUnansweredStart(const TaskId& task, TimePoint now) {
+  RecordUnansweredCall();
+  open_starts[task] = now;
+}
+
+void Worker::ForgetOldStarts(TimePoint now) {
+  std::erase_if(open_starts, [&](const auto& it) {
+    return now > it.second + kLatestCall + kLongestLease;
+  });
+}
+
+bool Worker::MayRunOpenStart(TimePoint sent_at, TimePoint now) const {
+  const bool has_restarted = restarted_at != TimePoint();
+  return has_restarted && !settled &&
+         now <= sent_at + kLatestCall + kLongestLease;
+}
+
+bool Worker::MayOutlastLeases(const Run& run, TimePoint now) const {
+  const bool has_restarted = restarted_at != TimePoint();
+  // Runs that were confirmed before have ended with the former process.
+  return has_restarted && !settled && run.started_at >= restarted_at &&
+         now <= restarted_at + kLatestCall + kLongestLease;
+}
+
 bool Worker::HasSurvivedStart(const Run& run) const {
   return run.ordered && heard_at >= run.ordered_at + kCrashWindow;
 }
@@ -82,6 +161,20 @@
           .incarnation_start_wall_ms = entry.incarnation_start_wall_ms};
 }
 
+std::string Worker::DescribeLease(TimePoint now) const {
+  std::ostringstream text;
+  text << "lease_order=" << last_grant.order
+       << " granted_ms_ago=" << (now - last_grant.at).count()
+       << " until_ms=" << last_grant.until_ms
+       << " on_clock_of=" << last_grant.incarnation_start_wall_ms
+       << " incarnation=" << entry.incarnation_start_wall_ms
+       << " heard_ms_ago=" << (now - heard_at).count()
+       << " leases_end_in_ms=" << (leases_end - now).count()
+       << " unanswered_calls=" << unanswered_calls
+       << " former_calls=" << former_calls;
+  return text.str();
+}
+
 void Worker::RecordUnreachable() {
   if (synced)
     LOG(WARNING) << "worker " << entry.id << " does not answer orders";
@@ -89,7 +182,7 @@
 }
 
 bool Worker::IsUsable(TimePoint now) const {
-  return listed && synced && has_clock && !entry.draining &&
+  return listed && synced && settled && has_clock && !entry.draining &&
          now >= full_until && !health.IsOnProbation(now) &&
          sync_failures < kUnreachableSyncs;
 }
@@ -116,7 +209,7 @@
   if (!reborn && known_start != 0)
     worker.entry.incarnation_start_wall_ms = known_start;
   if (reborn)
-    worker.ResetForIncarnation(entry.incarnation_start_wall_ms);
+    worker.ResetForIncarnation(entry.incarnation_start_wall_ms, now);
   return worker;
 }
 
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "core/time.h"
@@ -35,6 +36,14 @@
 // Covers rounding and the travel time of orders.
 inline constexpr Duration kLeaseMargin{200};
 
+// The last lease that was granted to a worker, for logs.
+struct LeaseGrant {
+  const char* order = "none";
+  TimePoint at;
+  int64_t until_ms = 0;                   // On the worker's estimated clock.
+  int64_t incarnation_start_wall_ms = 0;  // Of the process with that clock.
+};
+
 struct Worker {
   WorkerEntry entry;
   bool listed = false;  // The platform lists it.
@@ -42,11 +51,25 @@
   // Some answer came under the present epoch, so that orders of former leaders
   // are refused there.
   bool synced = false;
+  // Part of the fence of its calls. Raised so that it refuses calls that have
+  // had no answer, and those that were meant for a former process.
+  uint32_t fence_series = 0;
+  // No call of before the last restart can act on its present process, which
+  // has answered under a fence of `settling_series` or later.
+  bool settled = false;
+  uint32_t settling_series = 0;
+  int64_t former_incarnation_start_wall_ms = 0;
+  TimePoint restarted_at;  // When the last restart became known.
   bool has_clock = false;
   int64_t clock_ms = 0;  // The worker's clock at `clock_at`.
   TimePoint clock_at;
   // All leases granted so far have expired on the worker by then.
   TimePoint leases_end;
+  LeaseGrant last_grant;
+  // Starts and syncs without an answer, which may still be carried out: those
+  // sent to the present process, and to former ones.
+  int unanswered_calls = 0;
+  int former_calls = 0;
 
   TimePoint heard_at;  // Its last answer.
   // Since then another incarnation has come, so that the process that answered
@@ -77,6 +100,12 @@
   bool has_unanswered_start = false;
   // Tasks with a run there, as of the last tick.
   std::vector<TaskId> assigned;
+  // Tasks of which it last listed a run that is not assigned to it. They start
+  // nowhere until it lists the run no more, or its leases have expired.
+  std::set<TaskId> strays;
+  // Starts that had no answer, and when they were last sent. A later process of
+  // the worker may carry them out.
+  std::map<TaskId, TimePoint> open_starts;
   Resources used;  // By all runs and reservations; recounted for a pass.
   // Recounted for a pass: it has not been heard since it started some run, and
   // this run is of a suspect task.
@@ -85,8 +114,8 @@
 
   int64_t EstimateClock(TimePoint now) const;
   // The end of a lease granted now, on the worker's clock; extends
-  // `leases_end` accordingly.
-  int64_t GrantLease(TimePoint now, Duration length);
+  // `leases_end` accordingly. `order` names the call that carries it.
+  int64_t GrantLease(TimePoint now, Duration length, const char* order);
   // How long a lease granted now can last on the worker's clock. A process that
   // has restarted unnoticed shortens a lease on its predecessor's clock to the
   // longest one. Confirmed runs ended with the predecessor, so this matters
@@ -102,19 +131,45 @@
   void SetClock(int64_t clock, TimePoint now);
   // Resets the state for a new incarnation, whose end numbers start again. 0
   // when its start is not known yet.
-  void ResetForIncarnation(int64_t incarnation_start_wall_ms);
-
+  void ResetForIncarnation(int64_t incarnation_start_wall_ms, TimePoint now);
+
+  // A call that may have been sent has had no answer.
+  void RecordUnansweredCall();
+  void RecordUnansweredStart(const TaskId& task, TimePoint now);
+  void ForgetOldStarts(TimePoint now);
+  // Whether it may come to run an open start before it is heard again.
+  bool MayRunOpenStart(TimePoint sent_at, TimePoint now) const;
+  // A sync of this series was answered by the present process. Whether this
+  // settles the worker.
+  bool RecordSync(uint32_t series, TimePoint now);
+  // Whether a call of this series was sent before the last restart was known,
+  // so that its answer may come from the former process.
+  bool PrecedesRestart(uint32_t series) const {
+    return series < settling_series;
+  }
+  void RecordStray(const TaskId& task, TimePoint now);
   void RecordAnswer(TimePoint now);
+  // Whether the present process may hold the run beyond `leases_end`, since a
+  // call for a former one may prolong it there.
+  bool MayOutlastLeases(const Run& run, TimePoint now) const;
   // Whether it has answered long enough after it started the run to rule out
   // that the start makes it crash.
   bool HasSurvivedStart(const Run& run) const;
   // What a loss of the run says of its task, from what is known by now.
   LostRun JudgeLoss(const Run& run, TimePoint now) const;
 
+  // What is known of its process and its leases, for logs.
+  std::string DescribeLease(TimePoint now) const;
+
   // An order did not reach it; it gets no tasks before it answers a sync.
   void RecordUnreachable();
   // Whether it may be given tasks as far as its own state goes.
   bool IsUsable(TimePoint now) const;
+
+ private:
+  // Counts a lease of this length, granted now, on the slowest clock.
+  void CountLease(TimePoint now, Duration length);
+  void RaiseFence();
 };
 
 class WorkerRegistry {
