--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -120,6 +120,10 @@
   contacts_.Refill(registry_.workers(), now);
   ContactWorkers(now);
   SettleOldLosses(now);
+  if (now > strays_end_) {
+    strays_end_ = TimePoint::max();
+    pass_due_ = true;
+  }
   Pump(now);
   if (now >= next_cleanup_) {
     next_cleanup_ = now + kCleanupPeriod;
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -145,6 +145,8 @@
   // dispatcher_orders.cc: start and stop orders to workers.
   void TickRuns(TimePoint now);
   void TickRun(Job& job, const TaskId& id, TaskProgress& task, TimePoint now);
+  // Whether some worker holds a run of the task that is not assigned to it.
+  bool IsHeldAsStray(const TaskId& id, TimePoint now) const;
   void SendStart(Job& job, const TaskId& id, Run& run, TimePoint now);
   void OnStartReply(const TaskId& id,
                     Attempt attempt,
@@ -343,6 +345,8 @@
   std::map<WorkerId, std::set<TaskId>> unclear_losses_;
   TimePoint missing_since_;  // The list of workers has been current since then.
   bool pass_due_ = true;
+  // When the next task that waits for a stray or an open start may start.
+  TimePoint strays_end_ = TimePoint::max();
   TimePoint last_pass_;
   TimePoint next_cleanup_;
   const TimePoint began_;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -106,21 +106,32 @@
     if (now - run.phase_since <= kStartTimeout) {
       // A successor must be able to tell when the run has expired, even if a
       // restarted process of the worker carries the order out.
-      if (worker.settled && MaxLease(now) >= kLongestLease)
+      if (worker.settled && MaxLease(now) >= kLongestLease &&
+          !IsHeldAsStray(id, now))
         SendStart(job, id, run, now);
       return;
     }
     LOG(WARNING) << "task " << ToString(id) << " attempt=" << run.attempt
                  << " could not be started on worker " << run.worker
                  << ": ordered=" << run.ordered;
-    if (run.ordered)
-      worker.RecordUnreachable();
+    if (!run.ordered) {
+      MarkRunLost(job, id, run.attempt, "its start was never sent");
+      return;
+    }
+    worker.RecordUnreachable();
     StopRun(job, id, now, "its start timed out with an unknown outcome");
   }
   if (run.phase == RunPhase::kStopping && !run.stop_confirmed)
     SendStop(id, run, now);
 }
 
+bool Dispatcher::IsHeldAsStray(const TaskId& id, TimePoint now) const {
+  return std::ranges::any_of(registry_.workers(), [&](const auto& entry) {
+    const Worker& worker = entry.second;
+    return worker.strays.contains(id) && worker.HoldsStrays(now);
+  });
+}
+
 void Dispatcher::SendStart(Job& job,
                            const TaskId& id,
                            Run& run,
@@ -164,8 +175,9 @@
                               const absl::StatusOr<OrderReply>& reply) {
   const TimePoint now = clock_.Now();
   Worker& worker = registry_.FindOrAdd(worker_id, now);
-  if (reply.ok() && reply->clock_ms &&
-      !worker.PrecedesRestart(SeriesOf(fence))) {
+  // Such an answer may come from the former process.
+  const bool precedes_restart = worker.PrecedesRestart(SeriesOf(fence));
+  if (reply.ok() && reply->clock_ms && !precedes_restart) {
     worker.ObserveClock(*reply->clock_ms, now);
     worker.RecordAnswer(now);
   }
@@ -196,6 +208,10 @@
     run->next_try = now + kOrderRetryInterval;
     return;
   }
+  if (precedes_restart) {
+    run->next_try = now + kOrderRetryInterval;
+    return;
+  }
   if (run->phase != RunPhase::kStarting)
     return;
   switch (reply->result) {
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -187,12 +187,16 @@
   for (auto& [id, worker] : registry_.workers()) {
     worker.used = Resources();
     worker.has_unproven_run = worker.has_suspect_run = false;
-    if (pass.now <= worker.leases_end)
+    if (worker.HoldsStrays(pass.now)) {
       pass.strays.insert(worker.strays.begin(), worker.strays.end());
+      strays_end_ = std::min(strays_end_, worker.StraysEnd());
+    }
     worker.ForgetOldStarts(pass.now);
     for (const auto& [task, sent_at] : worker.open_starts) {
-      if (worker.MayRunOpenStart(sent_at, pass.now))
-        pass.strays.insert(task);
+      if (!worker.MayRunOpenStart(sent_at, pass.now))
+        continue;
+      pass.strays.insert(task);
+      strays_end_ = std::min(strays_end_, Worker::OpenStartEnd(sent_at));
     }
   }
   for (const JobId& id : live_) {
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -43,8 +43,10 @@
   // A worker that has missed syncs is unusable, and may hold ends of runs that
   // are taken for lost, until it answers.
   const bool unheard = worker.listed && worker.sync_failures > 0;
-  const bool wanted = unheard || worker.runs > 0 || worker.sync_soon ||
-                      !worker.strays.empty() || !worker.pending_ends.empty() ||
+  const bool unsettled = worker.listed && !worker.settled;
+  const bool wanted = unheard || unsettled || worker.runs > 0 ||
+                      worker.sync_soon || !worker.strays.empty() ||
+                      !worker.pending_ends.empty() ||
                       worker.acknowledged_ends < worker.recorded_ends;
   if (wanted)
     SendSync(worker, now);
@@ -357,7 +359,10 @@
     }
     Job& job = *FindJob(it.task.job);
     job.set_begun();
-    if (run->phase == RunPhase::kStarting)
+    // A late start may have started it once more on the present process.
+    const bool began_again = run->phase == RunPhase::kRunning &&
+                             run->started_at < worker.restarted_at;
+    if (run->phase == RunPhase::kStarting || began_again)
       MarkRunning(job, it.task, *run, now);
     if (run->phase == RunPhase::kRecovered) {
       MarkRunning(job, it.task, *run, now);
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -124,23 +124,35 @@
   open_starts[task] = now;
 }
 
+TimePoint Worker::OpenStartEnd(TimePoint sent_at) {
+  return sent_at + kLatestCall + kLongestLease;
+}
+
 void Worker::ForgetOldStarts(TimePoint now) {
-  std::erase_if(open_starts, [&](const auto& it) {
-    return now > it.second + kLatestCall + kLongestLease;
-  });
+  std::erase_if(open_starts,
+                [&](const auto& it) { return now > OpenStartEnd(it.second); });
+}
+
+bool Worker::IsRestarting(TimePoint now) const {
+  return restarted_at != TimePoint() && !settled &&
+         now <= OpenStartEnd(restarted_at);
 }
 
 bool Worker::MayRunOpenStart(TimePoint sent_at, TimePoint now) const {
-  const bool has_restarted = restarted_at != TimePoint();
-  return has_restarted && !settled &&
-         now <= sent_at + kLatestCall + kLongestLease;
+  return IsRestarting(now) && now <= OpenStartEnd(sent_at);
+}
+
+TimePoint Worker::StraysEnd() const {
+  const bool may_be_prolonged = restarted_at != TimePoint() && !settled;
+  return may_be_prolonged ? std::max(leases_end, OpenStartEnd(restarted_at))
+                          : leases_end;
 }
 
 bool Worker::MayOutlastLeases(const Run& run, TimePoint now) const {
-  const bool has_restarted = restarted_at != TimePoint();
-  // Runs that were confirmed before have ended with the former process.
-  return has_restarted && !settled && run.started_at >= restarted_at &&
-         now <= restarted_at + kLatestCall + kLongestLease;
+  // Runs that were confirmed before have ended with the former process, unless
+  // a start of them had no answer.
+  return IsRestarting(now) && (run.uncertain || run.IsUnanswered() ||
+                               run.started_at >= restarted_at);
 }
 
 bool Worker::HasSurvivedStart(const Run& run) const {
@@ -206,7 +218,10 @@
   worker.entry = entry;
   worker.listed = true;
   // An entry that does not say so, or tells of a former process.
-  if (!reborn && known_start != 0)
+  const bool tells_of_former = worker.restarted_at != TimePoint() &&
+                               entry.incarnation_start_wall_ms ==
+                                   worker.former_incarnation_start_wall_ms;
+  if (!reborn && (known_start != 0 || tells_of_former))
     worker.entry.incarnation_start_wall_ms = known_start;
   if (reborn)
     worker.ResetForIncarnation(entry.incarnation_start_wall_ms, now);
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -137,8 +137,15 @@
   void RecordUnansweredCall();
   void RecordUnansweredStart(const TaskId& task, TimePoint now);
   void ForgetOldStarts(TimePoint now);
+  // Until when a start that was sent then can act.
+  static TimePoint OpenStartEnd(TimePoint sent_at);
   // Whether it may come to run an open start before it is heard again.
   bool MayRunOpenStart(TimePoint sent_at, TimePoint now) const;
+  // Whether, and until when, the runs of `strays` may last.
+  bool HoldsStrays(TimePoint now) const {
+    return !strays.empty() && now <= StraysEnd();
+  }
+  TimePoint StraysEnd() const;
   // A sync of this series was answered by the present process. Whether this
   // settles the worker.
   bool RecordSync(uint32_t series, TimePoint now);
@@ -150,7 +157,7 @@
   void RecordStray(const TaskId& task, TimePoint now);
   void RecordAnswer(TimePoint now);
   // Whether the present process may hold the run beyond `leases_end`, since a
-  // call for a former one may prolong it there.
+  // call for a former one may start or prolong it there.
   bool MayOutlastLeases(const Run& run, TimePoint now) const;
   // Whether it has answered long enough after it started the run to rule out
   // that the start makes it crash.
@@ -167,6 +174,9 @@
   bool IsUsable(TimePoint now) const;
 
  private:
+  // Its process is known to be another one, which may still carry out calls for
+  // a former one.
+  bool IsRestarting(TimePoint now) const;
   // Counts a lease of this length, granted now, on the slowest clock.
   void CountLease(TimePoint now, Duration length);
   void RaiseFence();
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -101,6 +101,8 @@
   // Starts of a task so far, on any worker.
   int starts(const batch::TaskId& task) const;
   int total_starts() const { return total_starts_; }
+  // Starts that were answered as fenced.
+  int fenced_starts() const { return fenced_starts_; }
   // Failed ends of a task so far, on any worker.
   int failures(const batch::TaskId& task) const;
   // Workers that restarted while they ran the task.
@@ -218,6 +220,7 @@
   std::vector<std::string> violations_before_contact_;
   uint64_t serial_ = 0;
   int total_starts_ = 0;
+  int fenced_starts_ = 0;
 };
 
 }  // namespace quetzalshelf
