Let a new leader wait for late calls to a worker that has just started

A new leader knows nothing of its predecessor's calls. It gave up the runs of a silent worker after 8.4 s, the bound for leases that are counted on the clock of the process that holds them. A start or a renewal without an answer can reach the next process later than this, and the task ran twice.

A worker whose process has started within 22 s when a leader first hears of it counts as restarted: until it answers, its recovered runs are kept for up to 18.5 s. 'A new leader waits for late calls to a restarted worker' failed before. The random test replaces leaders as well.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -37,6 +37,9 @@
 // Starts that are impossible for this long are logged; later lines come after
 // twice the time.
 constexpr Duration kBlockedWarning{1'000};
+// A worker that has started within this time may have had a former process to
+// which calls are still under way. Includes the differences of wall clocks.
+constexpr Duration kYoungWorker{22'000};
 // Limits the computed age of a job after a jump of the wall clock.
 constexpr Duration kMaxJobAge{600'000};
 
@@ -425,7 +428,12 @@
   if (known &&
       known->entry.incarnation_start_wall_ms != entry.incarnation_start_wall_ms)
     speeds_.Forget(entry.id);
-  const Worker& worker = registry_.Update(entry, now);
+  const bool is_new = !known || known->entry.port == 0;
+  Worker& worker = registry_.Update(entry, now);
+  // Calls of a former leader to its former process may still be carried out.
+  if (is_new && clock_.WallMillis() - entry.incarnation_start_wall_ms <
+                    kYoungWorker.count())
+    worker.restarted_at = now;
   // An entry may be older than the process that it names; only a new process
   // tells something of the former one.
   const int64_t known_start = worker.entry.incarnation_start_wall_ms;
--- a/tests/batch/former_calls_test.cc
+++ b/tests/batch/former_calls_test.cc
@@ -149,6 +149,44 @@
   CHECK(fixture.workers.violations_before_contact().empty());
 }
 
+// Guards against a new leader that gives up, by the bound for the leases of its
+// predecessor, a run that a late call may still start on a young process.
+TEST_CASE("A new leader waits for late calls to a restarted worker") {
+  FormerCallsFixture fixture;
+  fixture.workers.faults(fixture.id).late_orders = 1;
+  fixture.workers.faults(fixture.id).lateness = Duration(10'000);
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  for (int n = 0; n < 100 && fixture.workers.faults(fixture.id).late_orders > 0;
+       ++n)
+    fixture.Run(Duration(10));
+  fixture.SetReach(false);
+  fixture.workers.Crash(fixture.id);
+  fixture.ListSecondWorker();
+  fixture.Run(Duration(1'000));
+  fixture.Kill(0);
+  fixture.AddNode("n2");
+  fixture.nodes[1].workers->set_cut({fixture.id});
+  fixture.Run(Duration(40'000));
+  CHECK(fixture.workers.violations().empty());
+  CHECK(fixture.workers.violations_before_contact().empty());
+  CHECK(fixture.workers.IsRunning(Task(kJob, 0)));
+}
+
+// Guards against a run that is neither started nor given up, since its worker
+// has restarted between its placement and its start, and is silent.
+TEST_CASE("A run whose start was never sent is given up") {
+  FormerCallsFixture fixture;
+  fixture.store.set_answer_time(Duration(300));
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  // The run is being recorded.
+  fixture.Run(Duration(450));
+  fixture.listed.front().incarnation_start_wall_ms = 2;
+  fixture.SetReach(false);
+  fixture.ListSecondWorker();
+  fixture.Run(Duration(8'000));
+  CHECK(fixture.workers.IsRunning(Task(kJob, 0)));
+}
+
 // Guards against acknowledgements that a later process could carry out, sent
 // again and again although the worker has forgotten the ends already.
 TEST_CASE("An end is acknowledged once") {
@@ -233,12 +271,18 @@
         if (draw(0, 4) == 0)
           cut.insert(it.id);
       }
+      if (const int leader = fixture.Leader();
+          leader >= 0 && draw(0, 10) == 0) {
+        fixture.Kill(static_cast<size_t>(leader));
+        fixture.AddNode("n" + std::to_string(step + 2));
+        fixture.nodes.back().workers->set_cut(cut);
+      }
       if (step % 4 == 0)
-        fixture.nodes[0].workers->set_cut(cut);
+        fixture.nodes.back().workers->set_cut(cut);
       fixture.Run(Duration(draw(300, 2'000)));
     }
     trouble = false;
-    fixture.nodes[0].workers->set_cut({});
+    fixture.nodes.back().workers->set_cut({});
     fixture.Run(Duration(60'000));
     for (const std::string& it : fixture.workers.violations())
       FAIL_CHECK(it);
