Keep the former process of a worker known when its entry names the next one

The entry had replaced the start of the former process before it was noted, so that a late answer of that process was taken for a further restart: clock, ends and lists of a process that has ended.

--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -221,7 +221,7 @@
   const bool tells_of_former = worker.restarted_at != TimePoint() &&
                                entry.incarnation_start_wall_ms ==
                                    worker.former_incarnation_start_wall_ms;
-  if (!reborn && (known_start != 0 || tells_of_former))
+  if (known_start != 0 || tells_of_former)
     worker.entry.incarnation_start_wall_ms = known_start;
   if (reborn)
     worker.ResetForIncarnation(entry.incarnation_start_wall_ms, now);
--- a/tests/batch/former_calls_test.cc
+++ b/tests/batch/former_calls_test.cc
@@ -223,6 +223,21 @@
   CHECK(fixture.workers.IsRunning(Task(kOtherJob, 0)));
 }
 
+// Guards against an answer of the former process that is taken for one of the
+// present one, since an entry that tells of a restart has replaced its start.
+TEST_CASE("An entry that tells of a restart keeps the former process known") {
+  WorkerRegistry registry;
+  WorkerEntry entry = MakeWorker("w1", "r1-1");
+  registry.Update(entry, FromMillis(1'000));
+  entry.incarnation_start_wall_ms = 2;
+  const Worker& worker = registry.Update(entry, FromMillis(2'000));
+  CHECK(worker.former_incarnation_start_wall_ms == 1);
+  CHECK(worker.entry.incarnation_start_wall_ms == 2);
+  entry.incarnation_start_wall_ms = 1;
+  registry.Update(entry, FromMillis(3'000));
+  CHECK(worker.entry.incarnation_start_wall_ms == 2);
+}
+
 // Guards against fences of a former epoch that are not below those of the next,
 // however often they were raised.
 TEST_CASE("Fences rise with the epoch, then with the series") {
