--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -31,7 +31,7 @@
   CountLease(now, LongestEffect(length));
   last_grant = {order, now, EstimateClock(now) + length.count(),
                 entry.incarnation_start_wall_ms};
-  return last_grant.until_ms;
+  return last_grant.end_clock_ms;
 }
 
 void Worker::CountLease(TimePoint now, Duration length) {
@@ -177,7 +177,7 @@
   std::ostringstream text;
   text << "lease_order=" << last_grant.order
        << " granted_ms_ago=" << (now - last_grant.at).count()
-       << " until_ms=" << last_grant.until_ms
+       << " end_clock_ms=" << last_grant.end_clock_ms
        << " on_clock_of=" << last_grant.incarnation_start_wall_ms
        << " incarnation=" << entry.incarnation_start_wall_ms
        << " heard_ms_ago=" << (now - heard_at).count()
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -40,7 +40,7 @@
 struct LeaseGrant {
   const char* order = "none";
   TimePoint at;
-  int64_t until_ms = 0;                   // On the worker's estimated clock.
+  int64_t end_clock_ms = 0;               // On the worker's estimated clock.
   int64_t incarnation_start_wall_ms = 0;  // Of the process with that clock.
 };
 
