Make the scheduling pass a module of its own

Dispatcher decided and carried out in one class of some 90 methods, so that caps, shares and neighbours of runs could not be added or tested apart.

SchedulingPass takes the jobs, workers, configuration and the time, and tells its decisions through PassActions, without the store, orders or a clock. The dispatcher keeps the orders, the reports of workers and the rows.

--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -27,11 +27,12 @@
   target_link_options(quetzalshelf_options INTERFACE -fsanitize=address)
 endif()
 
-# quetzalshelf_library(name LINK libs...): a static library of every source
-# file in the current folder.
+# quetzalshelf_library(name LINK libs... FOLDERS folders...): a static library
+# of every source file in the current folder and in the folders named.
 function(quetzalshelf_library name)
-  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS *.cc)
+  cmake_parse_arguments(ARG "" "" "LINK;FOLDERS" ${ARGN})
+  list(TRANSFORM ARG_FOLDERS APPEND "/*.cc")
+  file(GLOB sources CONFIGURE_DEPENDS *.cc ${ARG_FOLDERS})
   if(sources)
     add_library(${name} STATIC ${sources})
     target_link_libraries(${name} PUBLIC quetzalshelf_options ${ARG_LINK})
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -24,7 +24,7 @@
 #include "servers/batch/job_state.h"
 #include "servers/batch/lease_handover.h"
 #include "servers/batch/load_report.h"
-#include "servers/batch/placement.h"
+#include "servers/batch/planning/scheduling_pass.h"
 #include "servers/batch/site_view.h"
 #include "servers/batch/state_writer.h"
 #include "servers/batch/table_follower.h"
@@ -105,9 +105,7 @@
   TimePoint jobs_confirmed_at() const { return job_rows_->confirmed_at(); }
 
  private:
-  struct PlacementUnit;  // A gang, or the tasks of a step that wait for
-                         // workers.
-  struct PassState;
+  class PassRecorder;
 
   // dispatcher.cc: job and state rows, workers.
   void OnStates(const std::vector<StoreRow>& rows);
@@ -239,65 +237,12 @@
   void ResendStart(const TaskId& id, Run& run, TimePoint now);
   void StopUnassignedRun(const Worker& worker, const ListedRun& listed);
 
-  // dispatcher_pass.cc: choice of the tasks to start.
+  // dispatcher_pass.cc: scheduling passes.
   void RunPass(TimePoint now);
-  void ComputeUsage(PassState& pass);
-  std::set<JobId> GuaranteedJobs() const;
-  std::vector<PlacementUnit> CollectUnits(const PassState& pass);
-  std::vector<Candidate>& CandidatesOf(const ServiceName& service,
-                                       PassState& pass);
-  // Whether a step has waited for long although there is ample room.
-  bool HasOutwaitedRoom(const PlacementUnit& unit,
-                        const std::vector<Candidate>& candidates,
-                        const Demand& demand,
-                        TimePoint now);
-  // Whether a step has waited for long although the workers that `preferred`
-  // avoids have room for it.
-  bool HasOutwaitedAvoidance(StepProgress& step,
-                             const std::vector<Candidate>& candidates,
-                             const Demand& demand,
-                             const Demand& preferred,
-                             TimePoint now);
-  // Restricts the demand of a suspect unit so that a crash is told from those
-  // of others, and takes little work with it.
-  void Isolate(const PlacementUnit& unit,
-               const std::vector<Candidate>& candidates,
-               Demand& demand,
-               TimePoint now);
-  // Whether the unit may reserve workers until all its tasks fit.
-  bool MayReserve(const PlacementUnit& unit, const PassState& pass) const;
-  void CollectVictims(PassState& pass, const ServiceName& service);
-  // Whether the unit can be deferred and still meet its objective.
-  bool CanDefer(const PlacementUnit& unit, TimePoint now) const;
-  // Moves the run of a gang member that its worker refused to another worker.
-  // False when no worker has capacity or the gang is being stopped.
+  // Moves the run of a gang member as SchedulingPass::MoveGangMember.
   bool MoveGangMember(Job& job, const TaskId& id, TimePoint now);
-  // Starts the unit if it can. Returns why it waits, null when it does not.
-  const char* StartUnit(PlacementUnit& unit, PassState& pass);
-  // Logs the wait of an urgent unit at a bounded rate.
-  static void LogWait(const PlacementUnit& unit,
-                      const char* why,
-                      TimePoint now);
-  // Places a gang. During a failure burst it prefers workers on which a run
-  // that started since the beginning of the burst has succeeded.
-  std::optional<Placement> PlaceGangOnHealthyWorkers(const PlacementUnit& unit,
-                                                     const Demand& demand,
-                                                     bool allow_spread,
-                                                     PassState& pass);
-  bool TryStartReserved(PlacementUnit& unit, PassState& pass);
-  // Starts tasks of no gang on the reserved workers that have room by now.
-  void StartReservedTasks(PlacementUnit& unit, PassState& pass);
-  // Stops the runs that a reservation has awaited for long enough.
-  void StopOverrunning(StepProgress& step, TimePoint now);
-  // Stops a run, or a gang, for urgent work.
-  void Preempt(Job& job, const TaskId& id, TimePoint now);
-  // Reserves workers for the unit and stops what runs there. Returns why it
-  // does not, null when it does.
-  const char* TryReclaim(PlacementUnit& unit,
-                         const Demand& demand,
-                         PassState& pass);
-  // Places the first waiting tasks of the unit, which then wait no longer.
-  void Assign(PlacementUnit& unit, const Placement& placement, PassState& pass);
+  PassInputs MakePassInputs(TimePoint now);
+  void ApplyOutcome(const PassOutcome& outcome);
 
   VersionedStore& store_;
   WorkerPort& port_;
--- /dev/null
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -0,0 +1,495 @@
+#include "servers/batch/planning/scheduling_pass.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "core/logging.h"
+
+namespace quetzalshelf::batch {
+
+namespace {
+
+// Share of a service's accelerators that is kept free for urgent gangs while
+// other work can be deferred.
+constexpr double kHeadroomShare = 0.28;
+// Share of the time until its objective during which work of other queues stays
+// out of this headroom; the rest is left for its run and for retries.
+constexpr double kDeferralShare = 0.35;
+// During a failure burst, the last attempt of a gang waits this long for
+// workers that have succeeded since the burst began. A burst passes within
+// seconds, whereas a failed job is lost.
+constexpr Duration kLastAttemptMaxWait{8'000};
+// A suspect task waits this long for a worker on which nothing has just
+// started; afterwards it may start on any.
+constexpr Duration kIsolationPatience{4'000};
+// A step waits this long for a rack, for the end of its deferral or for its
+// restart after a preemption while there is ample room. Then even a slow run is
+// better than none. Below the 3 s for which the users let a job stand.
+constexpr Duration kAmpleRoomPatience{2'000};
+// A step waits this long for other workers than those on which it is likely to
+// fail, unless there is ample room there. Longer than workers usually fail all
+// that they start.
+constexpr Duration kAvoidancePatience{8'000};
+// Urgent steps are expected to start sooner than this. Also the time between
+// two log lines on the wait of a step.
+constexpr Duration kWaitLogInterval{1'000};
+// Occurrences start this long after they are due, since the clocks of VMs
+// differ slightly.
+constexpr int64_t kDueMarginMs = 30;
+
+// Avoids workers with a penalty: one failing worker fails a whole gang, and no
+// run should be stopped in favour of one that is likely to fail.
+void AvoidUnhealthyWorkers(const std::vector<Candidate>& candidates,
+                           Demand& demand) {
+  std::set<WorkerId> unhealthy;
+  for (const Candidate& it : candidates) {
+    if (it.penalty > 0)
+      unhealthy.insert(it.worker->id);
+  }
+  Avoid(candidates, unhealthy, demand);
+}
+
+// Avoids workers on which the step is likely to fail.
+void AvoidLikelyFailures(const StepProgress& step,
+                         const std::vector<Candidate>& candidates,
+                         Demand& demand) {
+  std::set<WorkerId> failed_on;
+  for (const TaskProgress& it : step.tasks)
+    failed_on.insert(it.failed_on.begin(), it.failed_on.end());
+  Avoid(candidates, failed_on, demand);
+  if (demand.all_or_none)
+    AvoidUnhealthyWorkers(candidates, demand);
+}
+
+}  // namespace
+
+SchedulingPass::SchedulingPass(const PassInputs& inputs, PassActions& actions)
+    : inputs_(inputs), actions_(actions), now_(inputs.now) {}
+
+PassOutcome SchedulingPass::Run() {
+  ComputeUsage();
+  guaranteed_ = GuaranteedJobs();
+  std::vector<PlacementUnit> units = CollectUnits();
+  std::ranges::sort(units, {}, &PlacementUnit::Rank);
+  for (PlacementUnit& it : units) {
+    if (const char* const why = StartUnit(it))
+      LogWait(it, why);
+  }
+  return outcome_;
+}
+
+Job* SchedulingPass::FindJob(const JobId& id) const {
+  const auto it = std::ranges::lower_bound(
+      inputs_.jobs, id, {},
+      [](const Job* job) -> const JobId& { return job->record().id; });
+  return it != inputs_.jobs.end() && (*it)->record().id == id ? *it : nullptr;
+}
+
+void SchedulingPass::ComputeUsage() {
+  for (auto& [id, worker] : inputs_.registry.workers()) {
+    worker.used = Resources();
+    worker.has_unproven_run = worker.has_suspect_run = false;
+    if (worker.HoldsStrays(now_)) {
+      strays_.insert(worker.strays.begin(), worker.strays.end());
+      outcome_.strays_end = std::min(outcome_.strays_end, worker.StraysEnd());
+    }
+    worker.ForgetOldStarts(now_);
+    for (const auto& [task, sent_at] : worker.open_starts) {
+      if (!worker.MayRunOpenStart(sent_at, now_))
+        continue;
+      strays_.insert(task);
+      outcome_.strays_end =
+          std::min(outcome_.strays_end, Worker::OpenStartEnd(sent_at));
+    }
+  }
+  for (Job* const live : inputs_.jobs) {
+    Job& job = *live;
+    for (OccurrenceProgress& occurrence : job.occurrences()) {
+      for (size_t n = 0; n < occurrence.steps.size(); ++n) {
+        StepProgress& step = occurrence.steps[n];
+        const Resources each =
+            MakeDemand(job.spec(static_cast<int>(n)), 1).each;
+        bool any_waiting = false;
+        for (const TaskProgress& task : step.tasks) {
+          any_waiting = any_waiting || (!task.done && !task.run);
+          if (!task.run)
+            continue;
+          Worker* const worker = inputs_.registry.Find(task.run->worker);
+          if (!worker)
+            continue;
+          worker->used += each;
+          if (worker->HasSurvivedStart(*task.run))
+            continue;
+          worker->has_unproven_run = true;
+          worker->has_suspect_run =
+              worker->has_suspect_run || task.is_suspect();
+        }
+        if (!any_waiting)
+          step.reserved.clear();
+        if (!step.reserved.empty() && job.record().priority > 0)
+          held_.insert(job.record().service);
+        for (const WorkerId& reserved : step.reserved) {
+          if (Worker* const worker = inputs_.registry.Find(reserved))
+            worker->used += each;
+        }
+      }
+    }
+  }
+}
+
+std::set<JobId> SchedulingPass::GuaranteedJobs() const {
+  // Jobs of priority 0 up to the guarantee of their workspace: running jobs
+  // first, so that they are not stopped for older waiting ones, then in order
+  // of acceptance.
+  std::vector<const Job*> urgent;
+  for (const Job* const live : inputs_.jobs) {
+    const Job& job = *live;
+    if (job.record().priority == 0 && !job.IsFinal())
+      urgent.push_back(&job);
+  }
+  std::ranges::sort(urgent, {}, [](const Job* it) {
+    return std::pair(!it->HasAnyRun(), it->accepted_at());
+  });
+  std::map<WorkspaceId, int64_t> used;
+  std::set<JobId> guaranteed;
+  for (const Job* const job : urgent) {
+    const WorkspaceConfig* const workspace =
+        inputs_.site.config()->FindWorkspace(job->record().workspace);
+    if (!workspace)
+      continue;
+    int64_t need = 0;
+    for (const StepSpec& it : job->record().spec.steps)
+      need = std::max(need, it.tasks * it.resources.accelerators.value());
+    int64_t& sum = used[workspace->name];
+    if (sum + need > workspace->guaranteed.value())
+      continue;
+    sum += need;
+    guaranteed.insert(job->record().id);
+  }
+  return guaranteed;
+}
+
+std::vector<SchedulingPass::PlacementUnit> SchedulingPass::CollectUnits() {
+  const int64_t wall = inputs_.wall_ms - kDueMarginMs;
+  std::vector<PlacementUnit> units;
+  for (Job* const live : inputs_.jobs) {
+    Job& job = *live;
+    const JobId& job_id = job.record().id;
+    if (job.IsFinal())
+      continue;
+    const TimePoint objective = job.Objective();
+    TaskId id{job_id};
+    for (OccurrenceProgress& occurrence : job.occurrences()) {
+      id.step = -1;
+      const bool due = occurrence.due_wall_ms <= wall;
+      if (!due)
+        outcome_.repeat = true;
+      for (StepProgress& step : occurrence.steps) {
+        ++id.step;
+        if (!due || Job::IsDone(step) ||
+            !job.DependenciesDone(occurrence, id.step))
+          continue;
+        if (step.ready_since == TimePoint())
+          step.ready_since = now_;
+        if (now_ < step.retry_at) {
+          outcome_.repeat = true;
+          continue;
+        }
+        PlacementUnit unit{&job, id, &step, &job.spec(id.step)};
+        unit.guaranteed = guaranteed_.contains(job_id);
+        unit.objective = objective;
+        unit.late = now_ + unit.spec->estimate > objective;
+        std::vector<int> suspects;
+        for (size_t n = 0; n < step.tasks.size(); ++n) {
+          const TaskProgress& task = step.tasks[n];
+          const TaskId task_id{job_id, id.occurrence, id.step,
+                               static_cast<int>(n)};
+          if (task.done || task.run || strays_.contains(task_id))
+            continue;
+          unit.suspect = unit.suspect || task.is_suspect();
+          // A gang without this task is not whole and waits as well.
+          if (Job::AwaitsUnclearLosses(task))
+            continue;
+          if (task.is_suspect() && !unit.spec->gang)
+            suspects.push_back(static_cast<int>(n));
+          else
+            unit.waiting.push_back(static_cast<int>(n));
+        }
+        // Suspect tasks start apart from the others of their step.
+        if (unit.waiting.empty())
+          unit.waiting = std::move(suspects);
+        else if (!unit.spec->gang)
+          unit.suspect = false;
+        // A gang waits until no run of its last attempt is left.
+        const bool whole = unit.waiting.size() == step.tasks.size();
+        if (unit.waiting.empty() || (unit.spec->gang && !whole))
+          continue;
+        units.push_back(std::move(unit));
+      }
+      ++id.occurrence;
+    }
+  }
+  return units;
+}
+
+std::vector<Candidate>& SchedulingPass::CandidatesOf(
+    const ServiceName& service) {
+  const auto [it, added] = candidates_.try_emplace(service);
+  std::vector<Candidate>& candidates = it->second;
+  if (!added)
+    return candidates;
+  for (auto& [id, worker] : inputs_.registry.workers()) {
+    if (worker.entry.service != service || !worker.IsUsable(now_) ||
+        inputs_.site.IsEvacuated(worker.entry.domain))
+      continue;
+    candidates.push_back({&worker.entry, worker.entry.capacity - worker.used,
+                          worker.health.Penalty(now_),
+                          inputs_.speeds.Slowness(id, now_),
+                          worker.has_unproven_run});
+    if (worker.has_suspect_run)
+      candidates.back().Close();
+  }
+  return candidates;
+}
+
+bool SchedulingPass::CanDefer(const PlacementUnit& unit) const {
+  if (unit.job->record().priority == 0)
+    return false;
+  const TimePoint accepted = unit.job->accepted_at();
+  const Duration whole = unit.objective - accepted;
+  const Duration allowed(static_cast<int64_t>(
+      kDeferralShare * static_cast<double>(whole.count())));
+  return now_ < accepted + allowed;
+}
+
+void SchedulingPass::LogWait(const PlacementUnit& unit, const char* why) const {
+  const Duration waited = now_ - unit.step->ready_since;
+  if (unit.job->record().priority > 0 || waited < kWaitLogInterval ||
+      now_ < unit.step->next_wait_log)
+    return;
+  unit.step->next_wait_log = now_ + kWaitLogInterval;
+  LOG(INFO) << "step " << ToString(unit.id)
+            << " waits for workers: tasks=" << unit.waiting.size()
+            << " accelerators=" << unit.spec->resources.accelerators.value()
+            << " gang=" << unit.spec->gang << " guaranteed=" << unit.guaranteed
+            << " late=" << unit.late << " waited_ms=" << waited.count() << ": "
+            << why;
+}
+
+const char* SchedulingPass::StartUnit(PlacementUnit& unit) {
+  std::vector<Candidate>& candidates = CandidatesOf(unit.job->record().service);
+  StepProgress& step = *unit.step;
+  if (!unit.spec->gang)
+    StartReservedTasks(unit);
+  else if (!step.reserved.empty() && TryStartReserved(unit))
+    return step.reserved.empty() ? nullptr : "runs are being stopped";
+  if (unit.waiting.size() == step.reserved.size())
+    return unit.waiting.empty() ? nullptr : "runs are being stopped";
+  Demand demand = MakeDemand(
+      *unit.spec, static_cast<int>(unit.waiting.size() - step.reserved.size()));
+  demand.urgent = unit.job->record().priority == 0;
+  demand.present = step.reserved;
+  for (const TaskProgress& it : step.tasks) {
+    if (it.run)
+      demand.present.push_back(it.run->worker);
+  }
+  if (now_ < step.restart_at && !HasOutwaitedRoom(unit, candidates, demand)) {
+    outcome_.repeat = true;
+    return "it was preempted a moment ago";
+  }
+  Demand preferred = demand;
+  AvoidLikelyFailures(step, candidates, preferred);
+  if (!HasOutwaitedAvoidance(step, candidates, demand, preferred))
+    demand = std::move(preferred);
+  if (unit.suspect)
+    Isolate(unit, candidates, demand);
+  const bool can_defer = CanDefer(unit);
+  const bool outwaited = (can_defer || demand.rack_local) &&
+                         HasOutwaitedRoom(unit, candidates, demand);
+  if (can_defer && !outwaited) {
+    const auto [it, added] = headroom_.try_emplace(unit.job->record().service);
+    if (added)
+      it->second = ChooseHeadroom(candidates, kHeadroomShare);
+    AvoidRacks(candidates, it->second, demand);
+  }
+  if (!unit.spec->gang) {
+    const Placement placement = PlaceTasks(candidates, demand);
+    if (!placement.empty())
+      Assign(unit, placement);
+    for (const size_t n : placement)
+      demand.present.push_back(candidates[n].worker->id);
+    demand.tasks -= static_cast<int>(placement.size());
+    if (demand.tasks == 0)
+      return nullptr;
+    AvoidUnhealthyWorkers(candidates, demand);
+  } else {
+    const bool allow_spread =
+        demand.rack_local && (outwaited || !FitsSomeRack(candidates, demand));
+    if (const auto placement =
+            PlaceGangOnHealthyWorkers(unit, demand, allow_spread)) {
+      Assign(unit, *placement);
+      return nullptr;
+    }
+  }
+  if (!MayReserve(unit))
+    return "no workers have room, none may be reclaimed yet";
+  return TryReclaim(unit, demand);
+}
+
+void SchedulingPass::Isolate(const PlacementUnit& unit,
+                             const std::vector<Candidate>& candidates,
+                             Demand& demand) {
+  demand.prefer_idle = true;
+  if (now_ - unit.step->crashed_at > kIsolationPatience)
+    return;
+  if (!unit.spec->gang)
+    demand.max_per_worker = 1;
+  // Passes go on until the runs on some worker are proven.
+  outcome_.repeat = true;
+  for (const Candidate& it : candidates) {
+    if (it.has_unproven_run)
+      demand.avoid.insert(it.worker->id);
+  }
+}
+
+bool SchedulingPass::HasOutwaitedRoom(const PlacementUnit& unit,
+                                      const std::vector<Candidate>& candidates,
+                                      const Demand& demand) {
+  StepProgress& step = *unit.step;
+  if (Job::HasRuns(step) || !HasAmpleRoom(candidates, demand)) {
+    step.ample_room_since = TimePoint();
+    return false;
+  }
+  if (step.ample_room_since == TimePoint())
+    step.ample_room_since = now_;
+  const bool outwaited = now_ - step.ample_room_since >= kAmpleRoomPatience;
+  outcome_.repeat = outcome_.repeat || !outwaited;
+  return outwaited;
+}
+
+bool SchedulingPass::HasOutwaitedAvoidance(
+    StepProgress& step,
+    const std::vector<Candidate>& candidates,
+    const Demand& demand,
+    const Demand& preferred) {
+  const bool avoids_some = preferred.avoid.size() > demand.avoid.size();
+  if (!avoids_some || HasRoom(candidates, preferred) ||
+      !HasRoom(candidates, demand)) {
+    step.avoiding_since = TimePoint();
+    return false;
+  }
+  if (step.avoiding_since == TimePoint())
+    step.avoiding_since = now_;
+  const Duration patience = HasAmpleRoom(candidates, demand)
+                                ? kAmpleRoomPatience
+                                : kAvoidancePatience;
+  const bool outwaited = now_ - step.avoiding_since >= patience;
+  outcome_.repeat = outcome_.repeat || !outwaited;
+  return outwaited;
+}
+
+std::optional<Placement> SchedulingPass::PlaceGangOnHealthyWorkers(
+    const PlacementUnit& unit,
+    const Demand& demand,
+    bool allow_spread) {
+  const std::vector<Candidate>& candidates =
+      CandidatesOf(unit.job->record().service);
+  const TimePoint burst_start = inputs_.failure_bursts.BurstStart(now_);
+  if (burst_start == TimePoint::max())
+    return PlaceGang(candidates, demand, allow_spread);
+  Demand healthy_only = demand;
+  for (const Candidate& it : candidates) {
+    if (inputs_.registry.Find(it.worker->id)->health.last_success_start() <
+        burst_start)
+      healthy_only.avoid.insert(it.worker->id);
+  }
+  if (auto placement = PlaceGang(candidates, healthy_only, allow_spread))
+    return placement;
+  int failures = 0;
+  for (const TaskProgress& it : unit.step->tasks)
+    failures = std::max(failures, it.failures);
+  const bool last_attempt = failures + 1 >= unit.job->record().attempts;
+  const bool patient = now_ - unit.step->ready_since <= kLastAttemptMaxWait;
+  if (last_attempt && patient) {
+    outcome_.repeat = true;
+    return std::nullopt;
+  }
+  return PlaceGang(candidates, demand, allow_spread);
+}
+
+void SchedulingPass::Assign(PlacementUnit& unit, const Placement& placement) {
+  Job& job = *unit.job;
+  StepProgress& step = *unit.step;
+  std::vector<Candidate>& candidates = CandidatesOf(job.record().service);
+  const Resources each = MakeDemand(*unit.spec, 1).each;
+  const Attempt gang_attempt = Job::NextAttempt(step);
+  for (size_t n = 0; n < placement.size(); ++n) {
+    Candidate& candidate = candidates[placement[n]];
+    TaskProgress& task = step.tasks[static_cast<size_t>(unit.waiting[n])];
+    task.attempt = unit.spec->gang ? gang_attempt : task.attempt.Next();
+    task.run = batch::Run{.worker = candidate.worker->id,
+                          .attempt = task.attempt,
+                          .phase = RunPhase::kRecording,
+                          .phase_since = now_,
+                          .revision = job.revision + 1};
+    candidate.free -= each;
+    candidate.has_unproven_run = true;
+  }
+  if (unit.suspect) {
+    for (const size_t n : placement)
+      candidates[n].Close();
+  }
+  unit.waiting.erase(
+      unit.waiting.begin(),
+      unit.waiting.begin() + static_cast<std::ptrdiff_t>(placement.size()));
+  if (job.first_placed_at == TimePoint())
+    job.first_placed_at = now_;
+  actions_.RecordAssignment(job);
+}
+
+bool SchedulingPass::MoveGangMember(Job& job, const TaskId& id) {
+  TaskProgress& task = *job.Find(id);
+  StepProgress& step = *job.FindStep(id);
+  const StepSpec& spec = job.spec(id.step);
+  ComputeUsage();
+  const std::vector<Candidate>& candidates = CandidatesOf(job.record().service);
+  Demand demand = MakeDemand(spec, 1);
+  demand.urgent = job.record().priority == 0;
+  std::set<RackId> racks;
+  for (const TaskProgress& it : step.tasks) {
+    if (!it.run || it.run->phase == RunPhase::kStopping)
+      return false;
+    if (&it == &task)
+      continue;
+    demand.present.push_back(it.run->worker);
+    if (const Worker* const worker = inputs_.registry.Find(it.run->worker))
+      racks.insert(worker->entry.rack);
+  }
+  demand.avoid.insert(task.run->worker);
+  for (const Candidate& it : candidates) {
+    if (spec.rack_local && !racks.empty() && !racks.contains(it.worker->rack))
+      demand.avoid_racks.insert(it.worker->rack);
+  }
+  Demand preferred = demand;
+  AvoidLikelyFailures(step, candidates, preferred);
+  Placement placement = PlaceTasks(candidates, preferred);
+  // The others of the gang wait for it.
+  if (placement.empty())
+    placement = PlaceTasks(candidates, demand);
+  if (placement.empty())
+    return false;
+  const WorkerId& worker = candidates[placement.front()].worker->id;
+  LOG(INFO) << "task " << ToString(id) << " attempt=" << task.attempt
+            << " moves from worker " << task.run->worker << " to " << worker
+            << ": the first refused it, the gang keeps its attempt";
+  task.run = batch::Run{.worker = worker,
+                        .attempt = task.attempt,
+                        .phase = RunPhase::kRecording,
+                        .phase_since = now_,
+                        .revision = job.revision + 1};
+  actions_.RecordAssignment(job);
+  return true;
+}
+
+}  // namespace quetzalshelf::batch
--- /dev/null
+++ b/servers/batch/planning/scheduling_pass.h
@@ -0,0 +1,169 @@
+// One scheduling pass: chooses the tasks to start, their workers, and the runs
+// to stop for urgent work. Works on the jobs and workers as they are known at
+// one time, without the store, the network or a clock.
+
+#ifndef SERVERS_BATCH_PLANNING_SCHEDULING_PASS_H_
+#define SERVERS_BATCH_PLANNING_SCHEDULING_PASS_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <vector>
+
+#include "core/time.h"
+#include "servers/batch/job_state.h"
+#include "servers/batch/placement.h"
+#include "servers/batch/site_view.h"
+#include "servers/batch/victims.h"
+#include "servers/batch/worker_health.h"
+#include "servers/batch/worker_registry.h"
+#include "servers/batch/worker_speeds.h"
+
+namespace quetzalshelf::batch {
+
+// What a pass decides by.
+struct PassInputs {
+  TimePoint now;
+  int64_t wall_ms = 0;  // The time of day.
+  std::vector<Job*>
+      jobs;  // Not final, or with runs; in the order of their ids.
+  WorkerRegistry& registry;
+  const SiteView& site;  // Has a configuration.
+  const WorkerSpeeds& speeds;
+  const FailureBurstDetector& failure_bursts;
+  // Mean time between the request of a stop and the end of the run.
+  Duration mean_stop_time{0};
+};
+
+// Carries out what a pass decides, while it goes on.
+class PassActions {
+ public:
+  virtual ~PassActions() = default;
+  // Tasks of the job were assigned to workers.
+  virtual void RecordAssignment(Job& job) = 0;
+  // Stops the run of a task, or all runs of its step if it is a gang.
+  virtual void StopRun(Job& job, const TaskId& id, const char* why) = 0;
+};
+
+struct PassOutcome {
+  bool repeat = false;  // Some decision depends on the time that passes.
+  // When the next task that waits for a stray or an open start may start.
+  TimePoint strays_end = TimePoint::max();
+  int reclaims = 0;  // Steps for which runs are stopped.
+};
+
+class SchedulingPass {
+ public:
+  SchedulingPass(const PassInputs& inputs, PassActions& actions);
+
+  PassOutcome Run();
+  // Moves the run of a gang member that its worker refused to another worker.
+  // False when no worker has capacity or the gang is being stopped.
+  bool MoveGangMember(Job& job, const TaskId& id);
+
+ private:
+  // Waiting tasks that are placed together: a gang, or the tasks of a step.
+  struct PlacementUnit {
+    Job* job = nullptr;
+    TaskId id;  // The index is not used.
+    StepProgress* step = nullptr;
+    const StepSpec* spec = nullptr;
+    bool guaranteed = false;
+    bool late = false;  // Can no longer meet its objective.
+    TimePoint objective;
+    std::vector<int> waiting;  // Indexes of the tasks to place.
+    bool suspect = false;      // Workers have crashed under them.
+
+    auto Rank() const {
+      return std::tuple(job->record().priority, !guaranteed, late, objective,
+                        id);
+    }
+  };
+  struct Victim {
+    Job* job = nullptr;
+    TaskId id;  // Of a run, or of a step when it is a gang.
+    int priority = 0;
+    bool guaranteed = false;
+    Duration time_left{0};  // Until all its runs end by themselves.
+  };
+  // The runs of one service. Members of groups are indexes into the candidates
+  // of the same service.
+  struct ServiceVictims {
+    std::vector<VictimGroup> groups;
+    std::vector<Victim> victims;  // One per group.
+  };
+
+  // scheduling_pass.cc: what waits, and where it is placed.
+  // Null for a job that is final and has no runs.
+  Job* FindJob(const JobId& id) const;
+  void ComputeUsage();
+  std::set<JobId> GuaranteedJobs() const;
+  std::vector<PlacementUnit> CollectUnits();
+  std::vector<Candidate>& CandidatesOf(const ServiceName& service);
+  // Whether a step has waited for long although there is ample room.
+  bool HasOutwaitedRoom(const PlacementUnit& unit,
+                        const std::vector<Candidate>& candidates,
+                        const Demand& demand);
+  // Whether a step has waited for long although the workers that `preferred`
+  // avoids have room for it.
+  bool HasOutwaitedAvoidance(StepProgress& step,
+                             const std::vector<Candidate>& candidates,
+                             const Demand& demand,
+                             const Demand& preferred);
+  // Restricts the demand of a suspect unit so that a crash is told from those
+  // of others, and takes little work with it.
+  void Isolate(const PlacementUnit& unit,
+               const std::vector<Candidate>& candidates,
+               Demand& demand);
+  // Whether the unit can be deferred and still meet its objective.
+  bool CanDefer(const PlacementUnit& unit) const;
+  // Starts the unit if it can. Returns why it waits, null when it does not.
+  const char* StartUnit(PlacementUnit& unit);
+  // Logs the wait of an urgent unit at a bounded rate.
+  void LogWait(const PlacementUnit& unit, const char* why) const;
+  // Places a gang. During a failure burst it prefers workers on which a run
+  // that started since the beginning of the burst has succeeded.
+  std::optional<Placement> PlaceGangOnHealthyWorkers(const PlacementUnit& unit,
+                                                     const Demand& demand,
+                                                     bool allow_spread);
+  // Places the first waiting tasks of the unit, which then wait no longer.
+  void Assign(PlacementUnit& unit, const Placement& placement);
+
+  // reservations.cc: workers that are kept for waiting tasks, and the runs that
+  // are stopped for them.
+  // Whether the unit may reserve workers until all its tasks fit.
+  bool MayReserve(const PlacementUnit& unit) const;
+  bool TryStartReserved(PlacementUnit& unit);
+  // Starts tasks of no gang on the reserved workers that have room by now.
+  void StartReservedTasks(PlacementUnit& unit);
+  void CollectVictims(const ServiceName& service);
+  // Stops the runs that a reservation has awaited for long enough.
+  void StopOverrunning(StepProgress& step);
+  // Stops a run, or a gang, for urgent work.
+  void Preempt(Job& job, const TaskId& id);
+  // Reserves workers for the unit and stops what runs there. Returns why it
+  // does not, null when it does.
+  const char* TryReclaim(PlacementUnit& unit, const Demand& demand);
+
+  const PassInputs& inputs_;
+  PassActions& actions_;
+  const TimePoint now_;
+  PassOutcome outcome_;
+  std::set<JobId> guaranteed_;
+  // The free resources of the candidates shrink as units are placed.
+  std::map<ServiceName, std::vector<Candidate>> candidates_;
+  // Racks kept free of deferrable work; chosen when such work is first placed.
+  std::map<ServiceName, std::set<RackId>> headroom_;
+  // Collected when the first unit of a service tries to reclaim.
+  std::map<ServiceName, ServiceVictims> victims_;
+  // Services in which a gang that may not stop other runs holds workers.
+  std::set<ServiceName> held_;
+  // Tasks of which some worker holds, or may come to hold, a run that is not
+  // assigned to it.
+  std::set<TaskId> strays_;
+};
+
+}  // namespace quetzalshelf::batch
+
+#endif  // SERVERS_BATCH_PLANNING_SCHEDULING_PASS_H_
