Keep workspaces under their caps and share short room by weight

The product read neither the weight nor the cap of a workspace: one with a cap of 290 accelerators ran 357 of them.

CapLedger counts an upper bound of what a workspace runs, anew for each pass: runs until they are known to have ended, reservations, and strays of workers. A unit that does not fit under the cap waits and holds what becomes free; urgent work may stop less urgent work of its own workspace. Both take effect only where the configuration holds caps or weights.

--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -82,6 +82,7 @@
       losses_(metrics.GetCounter("quetzalshelf_task_losses_total")),
       crashes_(metrics.GetCounter("quetzalshelf_task_crashes_total")),
       reclaims_(metrics.GetCounter("quetzalshelf_reclaims_total")),
+      cap_reclaims_(metrics.GetCounter("quetzalshelf_cap_reclaims_total")),
       start_delay_(metrics.GetDistribution("quetzalshelf_start_delay_ms")) {
   states_ = std::make_unique<TableFollower>(
       store_, clock_,
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -98,6 +98,10 @@
   std::unique_ptr<LeaseHandover> HandOverLeases(TimePoint now) const;
 
   DispatcherStatus Status(TimePoint now) const;
+  // As of the last pass; empty where no workspace has a cap or a weight.
+  const std::map<WorkspaceId, WorkspaceUse>& workspaces() const {
+    return workspaces_;
+  }
 
   // nullopt until the jobs have been read, and while new ones cannot be.
   std::optional<LoadReport> Report(TimePoint now) const;
@@ -293,6 +297,7 @@
   // When the next task that waits for a stray or an open start may start.
   TimePoint strays_end_ = TimePoint::max();
   TimePoint last_pass_;
+  std::map<WorkspaceId, WorkspaceUse> workspaces_;
   TimePoint next_cleanup_;
   const TimePoint began_;
   TimePoint blocked_since_;  // Starts are impossible since then.
@@ -307,6 +312,7 @@
   Counter& losses_;
   Counter& crashes_;
   Counter& reclaims_;
+  Counter& cap_reclaims_;
   Distribution& start_delay_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -25,13 +25,15 @@
 };
 
 PassInputs Dispatcher::MakePassInputs(TimePoint now) {
-  PassInputs inputs{.now = now,
-                    .wall_ms = clock_.WallMillis(),
-                    .registry = registry_,
-                    .site = site_,
-                    .speeds = speeds_,
-                    .failure_bursts = failure_bursts_,
-                    .mean_stop_time = mean_stop_time_};
+  PassInputs inputs{
+      .now = now,
+      .wall_ms = clock_.WallMillis(),
+      .registry = registry_,
+      .site = site_,
+      .speeds = speeds_,
+      .failure_bursts = failure_bursts_,
+      .mean_stop_time = mean_stop_time_,
+      .find_job = [this](const JobId& id) { return FindJob(id); }};
   inputs.jobs.reserve(live_.size());
   for (const JobId& id : live_)
     inputs.jobs.push_back(jobs_.at(id).get());
@@ -42,12 +44,15 @@
   pass_due_ = pass_due_ || outcome.repeat;
   strays_end_ = std::min(strays_end_, outcome.strays_end);
   reclaims_.Add(outcome.reclaims);
+  cap_reclaims_.Add(outcome.cap_reclaims);
 }
 
 void Dispatcher::RunPass(TimePoint now) {
   const PassInputs inputs = MakePassInputs(now);
   PassRecorder recorder(*this, now);
-  ApplyOutcome(SchedulingPass(inputs, recorder).Run());
+  PassOutcome outcome = SchedulingPass(inputs, recorder).Decide();
+  ApplyOutcome(outcome);
+  workspaces_ = std::move(outcome.workspaces);
 }
 
 bool Dispatcher::MoveGangMember(Job& job, const TaskId& id, TimePoint now) {
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -421,7 +421,7 @@
   return highest;
 }
 
-Duration Job::ChainEstimate() const {
+Duration Job::ChainEstimate(const Resources& cap) const {
   std::vector<Duration> ends;
   for (const StepSpec& it : record_.spec.steps) {
     Duration start{0};
@@ -429,13 +429,14 @@
       if (earlier >= 0 && static_cast<size_t>(earlier) < ends.size())
         start = std::max(start, ends[static_cast<size_t>(earlier)]);
     }
-    ends.push_back(start + it.estimate);
+    const int waves = it.gang ? 1 : CountWaves(it.tasks, cap, it.resources);
+    ends.push_back(start + it.estimate * waves);
   }
   return ends.empty() ? Duration(0) : *std::ranges::max_element(ends);
 }
 
-TimePoint Job::Objective() const {
-  const double chain = static_cast<double>(ChainEstimate().count());
+TimePoint Job::Objective(const Resources& cap) const {
+  const double chain = static_cast<double>(ChainEstimate(cap).count());
   return accepted_at_ +
          Duration(static_cast<int64_t>(record_.slack_factor * chain)) +
          record_.target_latency;
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -220,10 +220,11 @@
   // The next attempt number of a step's tasks; gangs share one.
   static Attempt NextAttempt(const StepProgress& step);
 
-  // Longest chain of estimated run times through the steps.
-  Duration ChainEstimate() const;
+  // Longest chain of estimated run times through the steps. Steps of no gang
+  // that are wider than `cap` allows run in waves.
+  Duration ChainEstimate(const Resources& cap = {}) const;
   // When the job has to be complete to count as on time.
-  TimePoint Objective() const;
+  TimePoint Objective(const Resources& cap = {}) const;
 
   std::string EncodeState() const;
   // Takes over the progress of a state row. False when it cannot be read.
--- a/servers/batch/planning/reservations.cc
+++ b/servers/batch/planning/reservations.cc
@@ -1,21 +1,16 @@
 // SchedulingPass: reservations, and the runs that are stopped for them.
 
-#include "servers/batch/planning/scheduling_pass.h"
-
 #include <algorithm>
 #include <utility>
 
 #include "core/logging.h"
+#include "servers/batch/planning/run_costs.h"
+#include "servers/batch/planning/scheduling_pass.h"
 
 namespace quetzalshelf::batch {
 
 namespace {
 
-// Factor by which stopping a run costs more per level of priority.
-constexpr double kPriorityWeight = 4;
-constexpr int kLowestPriority = 2;
-// In core-seconds, added to each group of victims: a restart delays its job.
-constexpr double kRestartCost = 10;
 // A reservation expires after this time; stopping runs takes under 1 s.
 constexpr Duration kReservationTimeout{2'500};
 // Runs expected to end by themselves may overrun by this much before they are
@@ -32,26 +27,6 @@
 // Preemptions that are further apart are not in a row.
 constexpr Duration kPreemptionMemory{10'000};
 
-double Seconds(Duration duration) {
-  return static_cast<double>(duration.count()) / 1000.0;
-}
-
-// Estimated work of a step in core-seconds.
-double StepWork(const StepSpec& step) {
-  return step.tasks * WeighCores(step.resources) * Seconds(step.estimate);
-}
-
-// Work of a run that would be lost if it were stopped now, in core-seconds.
-double LostWork(const Run& run,
-                const StepSpec& spec,
-                const Resources& each,
-                TimePoint now) {
-  if (run.phase != RunPhase::kRunning)
-    return 0;
-  const TimePoint since = spec.checkpointing ? run.saved_at : run.started_at;
-  return WeighCores(each) * Seconds(now - since);
-}
-
 // Estimated time until the run ends by itself; the maximum duration when
 // unknown.
 Duration TimeLeft(const Run& run, TimePoint began, TimePoint now) {
@@ -60,13 +35,6 @@
   return run.phase == RunPhase::kRunning && left ? *left : Duration::max();
 }
 
-double StopCost(double lost_work, int priority) {
-  double weight = 1;
-  for (int n = priority; n < kLowestPriority; ++n)
-    weight *= kPriorityWeight;
-  return weight * (lost_work + kRestartCost);
-}
-
 }  // namespace
 
 bool SchedulingPass::MayReserve(const PlacementUnit& unit) const {
@@ -99,15 +67,21 @@
   }
   if (usable && !fits && now_ <= step.reserved_until)
     return true;
+  const WorkspaceId& workspace = unit.job->record().workspace;
+  const auto tasks = static_cast<int>(step.reserved.size());
+  caps_.Release(workspace, unit.spec->resources * tasks);
   step.reserved.clear();
   for (const size_t n : placement)
     candidates[n].free += each;
-  if (usable && fits) {
+  // The cap may have been lowered since.
+  const bool allowed =
+      caps_.CountFits(workspace, unit.spec->resources) >= tasks;
+  if (usable && fits && allowed) {
     Assign(unit, placement);
     return true;
   }
   LOG(INFO) << "reservation of step " << ToString(unit.id)
-            << " cancelled: usable=" << usable;
+            << " cancelled: usable=" << usable << " under_cap=" << allowed;
   return false;
 }
 
@@ -118,8 +92,11 @@
   StopOverrunning(step);
   std::vector<Candidate>& candidates = CandidatesOf(unit.job->record().service);
   const Demand one = MakeDemand(*unit.spec, 1);
+  const WorkspaceId& workspace = unit.job->record().workspace;
+  const Resources& task_size = unit.spec->resources;
   std::vector<size_t> usable;
   for (const WorkerId& id : std::exchange(step.reserved, {})) {
+    caps_.Release(workspace, task_size);
     const auto it = std::ranges::find(
         candidates, id, [](const Candidate& c) { return c.worker->id; });
     if (it == candidates.end())
@@ -133,11 +110,19 @@
     if (unit.waiting.size() == step.reserved.size() ||
         !IsEligible(*candidate.worker, one))
       continue;
+    // The cap may have been lowered since.
+    if (caps_.CountFits(workspace, task_size) == 0) {
+      LOG(INFO) << "reservation of step " << ToString(unit.id)
+                << " cancelled: worker=" << candidate.worker->id
+                << " cap=" << caps_.Describe(workspace, task_size);
+      continue;
+    }
     if (CountFits(*candidate.worker, candidate.free, one) > 0) {
       Assign(unit, {n});
     } else if (now_ <= step.reserved_until) {
       step.reserved.push_back(candidate.worker->id);
       candidate.free -= one.each;
+      caps_.Charge(workspace, task_size);
     } else {
       LOG(INFO) << "reservation of step " << ToString(unit.id)
                 << " cancelled: worker=" << candidate.worker->id;
@@ -215,10 +200,7 @@
   for (size_t n = 0; n < groups.size(); ++n) {
     const Victim& victim = victims[n];
     // Guaranteed work may also stop unguaranteed runs of its own priority.
-    stoppable[n] =
-        may_stop && (victim.priority > priority ||
-                     (unit.guaranteed && victim.priority == priority &&
-                      !victim.guaranteed));
+    stoppable[n] = MayStop(unit, victim.priority, victim.guaranteed);
     // Guaranteed work must not depend on runs that it may not stop.
     awaited[n] =
         victim.time_left <= max_wait && (stoppable[n] || !unit.guaranteed);
@@ -267,6 +249,7 @@
   for (const size_t n : plan->placement) {
     step.reserved.push_back(candidates[n].worker->id);
     candidates[n].free -= demand.each;
+    caps_.Charge(unit.job->record().workspace, unit.spec->resources);
   }
   if (!may_stop)
     held_.insert(service);
@@ -301,6 +284,7 @@
     ++step.preemptions;
   step.preempted_at = now_;
   step.restart_at = now_ + RestartDelay(step.preemptions);
+  ExpectEnds(job, id);
   actions_.StopRun(job, id, "preempted by urgent work");
 }
 
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -1,6 +1,7 @@
 #include "servers/batch/planning/scheduling_pass.h"
 
 #include <algorithm>
+#include <deque>
 #include <tuple>
 #include <utility>
 
@@ -65,18 +66,68 @@
 }  // namespace
 
 SchedulingPass::SchedulingPass(const PassInputs& inputs, PassActions& actions)
-    : inputs_(inputs), actions_(actions), now_(inputs.now) {}
+    : inputs_(inputs),
+      actions_(actions),
+      now_(inputs.now),
+      has_limits_(std::ranges::any_of(inputs.site.config()->workspaces,
+                                      [](const WorkspaceConfig& it) {
+                                        return it.weight > 0 ||
+                                               it.cap != Resources();
+                                      })),
+      caps_(has_limits_ ? inputs.site.config()->workspaces
+                        : std::vector<WorkspaceConfig>()) {}
 
-PassOutcome SchedulingPass::Run() {
+PassOutcome SchedulingPass::Decide() {
   ComputeUsage();
   guaranteed_ = GuaranteedJobs();
   std::vector<PlacementUnit> units = CollectUnits();
   std::ranges::sort(units, {}, &PlacementUnit::Rank);
+  ReportWorkspaces(units);
+  StartUnits(units);
+  return outcome_;
+}
+
+void SchedulingPass::StartUnits(std::vector<PlacementUnit>& units) {
+  std::vector<PlacementUnit*> postponed;
   for (PlacementUnit& it : units) {
-    if (const char* const why = StartUnit(it))
-      LogWait(it, why);
+    if (!postponed.empty() && UrgencyOf(*postponed.back()) != UrgencyOf(it))
+      StartPostponed(std::exchange(postponed, {}));
+    if (IsPostponed(it))
+      postponed.push_back(&it);
+    else
+      TryUnit(it);
   }
-  return outcome_;
+  StartPostponed(postponed);
+}
+
+bool SchedulingPass::IsPostponed(const PlacementUnit& unit) const {
+  // A guarantee is not shared.
+  if (!shares_ || unit.guaranteed)
+    return false;
+  const WorkspaceId& id = unit.job->record().workspace;
+  return shares_->IsPostponed(id, caps_.used(id),
+                              now_ - unit.step->ready_since);
+}
+
+void SchedulingPass::StartPostponed(const std::vector<PlacementUnit*>& units) {
+  std::map<WorkspaceId, std::deque<PlacementUnit*>> queues;
+  for (PlacementUnit* const it : units)
+    queues[it->job->record().workspace].push_back(it);
+  while (!queues.empty()) {
+    const auto next = std::ranges::min_element(queues, {}, [this](auto& it) {
+      return shares_->DominantShare(caps_.used(it.first)) /
+             shares_->DueShare(it.first);
+    });
+    TryUnit(*next->second.front());
+    next->second.pop_front();
+    if (next->second.empty())
+      queues.erase(next);
+  }
+}
+
+void SchedulingPass::TryUnit(PlacementUnit& unit) {
+  if (const char* const why = StartUnit(unit))
+    LogWait(unit, why);
 }
 
 Job* SchedulingPass::FindJob(const JobId& id) const {
@@ -91,6 +142,8 @@
     worker.used = Resources();
     worker.has_unproven_run = worker.has_suspect_run = false;
     if (worker.HoldsStrays(now_)) {
+      for (const TaskId& it : worker.strays)
+        ChargeStray(id, it);
       strays_.insert(worker.strays.begin(), worker.strays.end());
       outcome_.strays_end = std::min(outcome_.strays_end, worker.StraysEnd());
     }
@@ -98,6 +151,7 @@
     for (const auto& [task, sent_at] : worker.open_starts) {
       if (!worker.MayRunOpenStart(sent_at, now_))
         continue;
+      ChargeStray(id, task);
       strays_.insert(task);
       outcome_.strays_end =
           std::min(outcome_.strays_end, Worker::OpenStartEnd(sent_at));
@@ -108,13 +162,16 @@
     for (OccurrenceProgress& occurrence : job.occurrences()) {
       for (size_t n = 0; n < occurrence.steps.size(); ++n) {
         StepProgress& step = occurrence.steps[n];
-        const Resources each =
-            MakeDemand(job.spec(static_cast<int>(n)), 1).each;
+        const StepSpec& spec = job.spec(static_cast<int>(n));
+        const Resources each = MakeDemand(spec, 1).each;
         bool any_waiting = false;
         for (const TaskProgress& task : step.tasks) {
           any_waiting = any_waiting || (!task.done && !task.run);
           if (!task.run)
             continue;
+          caps_.Charge(job.record().workspace, spec.resources);
+          if (task.run->phase == RunPhase::kStopping)
+            caps_.ExpectEnd(job.record().workspace, spec.resources);
           Worker* const worker = inputs_.registry.Find(task.run->worker);
           if (!worker)
             continue;
@@ -130,6 +187,7 @@
         if (!step.reserved.empty() && job.record().priority > 0)
           held_.insert(job.record().service);
         for (const WorkerId& reserved : step.reserved) {
+          caps_.Charge(job.record().workspace, spec.resources);
           if (Worker* const worker = inputs_.registry.Find(reserved))
             worker->used += each;
         }
@@ -178,7 +236,8 @@
     const JobId& job_id = job.record().id;
     if (job.IsFinal())
       continue;
-    const TimePoint objective = job.Objective();
+    const Resources cap = CapOf(job);
+    const TimePoint objective = job.Objective(cap);
     TaskId id{job_id};
     for (OccurrenceProgress& occurrence : job.occurrences()) {
       id.step = -1;
@@ -199,7 +258,6 @@
         PlacementUnit unit{&job, id, &step, &job.spec(id.step)};
         unit.guaranteed = guaranteed_.contains(job_id);
         unit.objective = objective;
-        unit.late = now_ + unit.spec->estimate > objective;
         std::vector<int> suspects;
         for (size_t n = 0; n < step.tasks.size(); ++n) {
           const TaskProgress& task = step.tasks[n];
@@ -225,6 +283,11 @@
         const bool whole = unit.waiting.size() == step.tasks.size();
         if (unit.waiting.empty() || (unit.spec->gang && !whole))
           continue;
+        const int waves =
+            unit.spec->gang ? 1
+                            : CountWaves(static_cast<int>(unit.waiting.size()),
+                                         cap, unit.spec->resources);
+        unit.late = now_ + unit.spec->estimate * waves > objective;
         units.push_back(std::move(unit));
       }
       ++id.occurrence;
@@ -298,6 +361,8 @@
     outcome_.repeat = true;
     return "it was preempted a moment ago";
   }
+  if (const char* const why = LimitToCap(unit, demand))
+    return why;
   Demand preferred = demand;
   AvoidLikelyFailures(step, candidates, preferred);
   if (!HasOutwaitedAvoidance(step, candidates, demand, preferred))
@@ -428,12 +493,13 @@
     Candidate& candidate = candidates[placement[n]];
     TaskProgress& task = step.tasks[static_cast<size_t>(unit.waiting[n])];
     task.attempt = unit.spec->gang ? gang_attempt : task.attempt.Next();
-    task.run = batch::Run{.worker = candidate.worker->id,
-                          .attempt = task.attempt,
-                          .phase = RunPhase::kRecording,
-                          .phase_since = now_,
-                          .revision = job.revision + 1};
+    task.run = Run{.worker = candidate.worker->id,
+                   .attempt = task.attempt,
+                   .phase = RunPhase::kRecording,
+                   .phase_since = now_,
+                   .revision = job.revision + 1};
     candidate.free -= each;
+    caps_.Charge(job.record().workspace, unit.spec->resources);
     candidate.has_unproven_run = true;
   }
   if (unit.suspect) {
@@ -483,11 +549,11 @@
   LOG(INFO) << "task " << ToString(id) << " attempt=" << task.attempt
             << " moves from worker " << task.run->worker << " to " << worker
             << ": the first refused it, the gang keeps its attempt";
-  task.run = batch::Run{.worker = worker,
-                        .attempt = task.attempt,
-                        .phase = RunPhase::kRecording,
-                        .phase_since = now_,
-                        .revision = job.revision + 1};
+  task.run = Run{.worker = worker,
+                 .attempt = task.attempt,
+                 .phase = RunPhase::kRecording,
+                 .phase_since = now_,
+                 .revision = job.revision + 1};
   actions_.RecordAssignment(job);
   return true;
 }
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -5,15 +5,19 @@
 #ifndef SERVERS_BATCH_PLANNING_SCHEDULING_PASS_H_
 #define SERVERS_BATCH_PLANNING_SCHEDULING_PASS_H_
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "core/time.h"
 #include "servers/batch/job_state.h"
 #include "servers/batch/placement.h"
+#include "servers/batch/planning/cap_ledger.h"
+#include "servers/batch/planning/fair_shares.h"
 #include "servers/batch/site_view.h"
 #include "servers/batch/victims.h"
 #include "servers/batch/worker_health.h"
@@ -34,6 +38,8 @@
   const FailureBurstDetector& failure_bursts;
   // Mean time between the request of a stop and the end of the run.
   Duration mean_stop_time{0};
+  // Also finds jobs that are final; null for unknown ones.
+  std::function<const Job*(const JobId&)> find_job;
 };
 
 // Carries out what a pass decides, while it goes on.
@@ -46,18 +52,32 @@
   virtual void StopRun(Job& job, const TaskId& id, const char* why) = 0;
 };
 
+// Use of one workspace at the begin of a pass.
+struct WorkspaceUse {
+  Resources used;  // By runs and reservations, as an upper bound.
+  Resources cap;
+  double weight = 0;
+  double share = 0;        // Greatest of any resource, from 0 to 1.
+  double due_share = 0;    // By its weight; 0 without weights.
+  int waiting_at_cap = 0;  // Steps.
+};
+
 struct PassOutcome {
   bool repeat = false;  // Some decision depends on the time that passes.
   // When the next task that waits for a stray or an open start may start.
   TimePoint strays_end = TimePoint::max();
   int reclaims = 0;  // Steps for which runs are stopped.
+  // Steps for which other runs of their workspace are stopped.
+  int cap_reclaims = 0;
+  // Of workspaces with a cap or a weight; empty if none has one.
+  std::map<WorkspaceId, WorkspaceUse> workspaces;
 };
 
 class SchedulingPass {
  public:
   SchedulingPass(const PassInputs& inputs, PassActions& actions);
 
-  PassOutcome Run();
+  PassOutcome Decide();
   // Moves the run of a gang member that its worker refused to another worker.
   // False when no worker has capacity or the gang is being stopped.
   bool MoveGangMember(Job& job, const TaskId& id);
@@ -80,6 +100,11 @@
                         id);
     }
   };
+  // What makes units equally urgent.
+  using Urgency = std::pair<int, bool>;
+  static Urgency UrgencyOf(const PlacementUnit& unit) {
+    return {unit.job->record().priority, !unit.guaranteed};
+  }
   struct Victim {
     Job* job = nullptr;
     TaskId id;  // Of a run, or of a step when it is a gang.
@@ -98,6 +123,18 @@
   // Null for a job that is final and has no runs.
   Job* FindJob(const JobId& id) const;
   void ComputeUsage();
+  // Counts a run that a worker holds, or may come to hold, though it is not
+  // assigned to it.
+  void ChargeStray(const WorkerId& worker, const TaskId& id);
+  void ReportWorkspaces(const std::vector<PlacementUnit>& units);
+  // Tries all units: by urgency, and among the equally urgent first those of
+  // workspaces that use less than their share.
+  void StartUnits(std::vector<PlacementUnit>& units);
+  bool IsPostponed(const PlacementUnit& unit) const;
+  // Tries units that are equally urgent, always one of the workspace that uses
+  // least of its share.
+  void StartPostponed(const std::vector<PlacementUnit*>& units);
+  void TryUnit(PlacementUnit& unit);
   std::set<JobId> GuaranteedJobs() const;
   std::vector<PlacementUnit> CollectUnits();
   std::vector<Candidate>& CandidatesOf(const ServiceName& service);
@@ -130,8 +167,30 @@
   // Places the first waiting tasks of the unit, which then wait no longer.
   void Assign(PlacementUnit& unit, const Placement& placement);
 
+  // workspace_limits.cc: caps of workspaces.
+  const WorkspaceConfig* WorkspaceOf(const Job& job) const;
+  // No limit for an unknown workspace.
+  Resources CapOf(const Job& job) const;
+  // Reduces the demand to what the workspace may start now. Returns why it may
+  // start nothing, null if it may.
+  const char* LimitToCap(const PlacementUnit& unit, Demand& demand);
+  // Stops runs of the workspace of the unit that are less urgent, so that
+  // `amount` may start. Returns why it does not, null when it does.
+  const char* MakeRoomUnderCap(const PlacementUnit& unit,
+                               const Resources& amount);
+  // Counts runs as about to end: that of a task, or those of a gang.
+  void ExpectEnds(Job& job, const TaskId& id);
+
   // reservations.cc: workers that are kept for waiting tasks, and the runs that
   // are stopped for them.
+  // Whether the unit may stop such runs.
+  static bool MayStop(const PlacementUnit& unit,
+                      int priority,
+                      bool guaranteed) {
+    const int own = unit.job->record().priority;
+    return own == 0 && (priority > own ||
+                        (unit.guaranteed && priority == own && !guaranteed));
+  }
   // Whether the unit may reserve workers until all its tasks fit.
   bool MayReserve(const PlacementUnit& unit) const;
   bool TryStartReserved(PlacementUnit& unit);
@@ -150,6 +209,10 @@
   PassActions& actions_;
   const TimePoint now_;
   PassOutcome outcome_;
+  // Some workspace has a cap or a weight.
+  const bool has_limits_;
+  CapLedger caps_;
+  std::optional<FairShares> shares_;
   std::set<JobId> guaranteed_;
   // The free resources of the candidates shrink as units are placed.
   std::map<ServiceName, std::vector<Candidate>> candidates_;
--- a/servers/batch/types.cc
+++ b/servers/batch/types.cc
@@ -19,8 +19,33 @@
   return ec == std::errc() && last == end && number >= 0;
 }
 
+int CountIn(int64_t room, int64_t cap, int64_t each) {
+  if (cap <= 0 || each <= 0)
+    return kUnlimitedTasks;
+  return static_cast<int>(std::clamp<int64_t>(room / each, 0, kUnlimitedTasks));
+}
+
 }  // namespace
 
+int CountTasksIn(const Resources& room,
+                 const Resources& cap,
+                 const Resources& each) {
+  return std::min(
+      {CountIn(room.accelerators.value(), cap.accelerators.value(),
+               each.accelerators.value()),
+       CountIn(room.cpu.value(), cap.cpu.value(), each.cpu.value()),
+       CountIn(room.memory.value(), cap.memory.value(), each.memory.value())});
+}
+
+int CountWaves(int tasks, const Resources& cap, const Resources& each) {
+  const int width = std::max(1, CountTasksIn(cap, cap, each));
+  return std::max(1, (tasks - 1) / width + 1);
+}
+
+bool WorkspaceConfig::CanRun(const StepSpec& step) const {
+  return CountTasksIn(cap, cap, step.resources) >= (step.gang ? step.tasks : 1);
+}
+
 std::string ToString(const TaskId& task) {
   return task.job.value() + "." + std::to_string(task.occurrence) + "." +
          std::to_string(task.step) + "." + std::to_string(task.index);
--- a/servers/batch/types.h
+++ b/servers/batch/types.h
@@ -81,6 +81,16 @@
   bool needs_advice = false;
 };
 
+// Tasks of this size that fit into `room` by the amounts that `cap` limits;
+// kUnlimitedTasks when none does, never negative.
+inline constexpr int kUnlimitedTasks = 1'000'000'000;
+int CountTasksIn(const Resources& room,
+                 const Resources& cap,
+                 const Resources& each);
+// How often tasks of this size must start one after the other under the cap. At
+// least 1.
+int CountWaves(int tasks, const Resources& cap, const Resources& each);
+
 struct ServiceConfig {
   ServiceName name;
   bool standby = false;  // Its machines are switched off.
@@ -90,6 +100,15 @@
   WorkspaceId name;
   std::vector<std::string> keys;
   Accelerators guaranteed;
+  // Its part of a service that is short of room, relative to those of other
+  // workspaces; 0 where the configuration has none.
+  double weight = 0;
+  // What may run at once, over all workers; an amount of 0 is not limited. Goes
+  // before the guarantee where that is greater.
+  Resources cap;
+
+  // Whether one task of the step, or the whole gang, can run under the cap.
+  bool CanRun(const StepSpec& step) const;
 };
 
 struct SiteLimits {
