Refuse what no cap can hold, report use of workspaces, and test the limits

A step wider than its workspace may run at once could never start, and its caller learned nothing. It is refused when it arrives, unless an earlier copy was accepted. What each workspace uses of its cap and share is in the status page, the metrics and the lines on waiting steps.

Work of a workspace beyond its share reserves no workers while others below theirs wait for the same service: before, its reservations took the runs that were about to end, and a small workspace waited for 9.5 s in the test that is added, without the change.

A random test of cuts, late orders, changes of leader and restarts against what really runs finds no start above the cap.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -59,6 +59,26 @@
                                        kReservedDescriptors);
 }
 
+// What a workspace uses of its cap and of its share; without a cap or a weight
+// those fields are left out.
+nlohmann::json DescribeUse(const batch::WorkspaceUse& use) {
+  const auto describe = [](const Resources& amount) {
+    return nlohmann::json{{"accelerators", amount.accelerators.value()},
+                          {"millicores", amount.cpu.value()},
+                          {"memory_mb", amount.memory.value()}};
+  };
+  nlohmann::json status = {{"used", describe(use.used)},
+                           {"share", use.share},
+                           {"steps_at_cap", use.waiting_at_cap}};
+  if (use.cap != Resources())
+    status["cap"] = describe(use.cap);
+  if (use.weight > 0) {
+    status["weight"] = use.weight;
+    status["due_share"] = use.due_share;
+  }
+  return status;
+}
+
 EventHttpServerOptions ServerOptions(const std::string& host,
                                      int port,
                                      int connections) {
@@ -270,6 +290,8 @@
                         {"may_start", view.may_start},
                         {"jobs_age_ms", view.jobs_age.count()},
                         {"workers_age_ms", view.workers_age.count()}};
+    for (const auto& [id, use] : it->workspaces())
+      status["workspaces"][id.value()] = DescribeUse(use);
   }
   HttpResponse response;
   response.body = status.dump();
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -306,6 +306,7 @@
   TimePoint workers_confirmed_at_;
   TimePoint leadership_confirmed_at_;
 
+  MetricsRegistry& metrics_;
   Counter& starts_;
   Counter& ends_;
   Counter& failures_;
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -1,12 +1,21 @@
 // Dispatcher: runs scheduling passes and carries out what they decide.
 
 #include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
 
 #include "servers/batch/dispatcher.h"
 #include "servers/batch/planning/scheduling_pass.h"
 
 namespace quetzalshelf::batch {
 
+namespace {
+
+constexpr double kPermille = 1'000;
+
+}  // namespace
+
 class Dispatcher::PassRecorder : public PassActions {
  public:
   PassRecorder(Dispatcher& dispatcher, TimePoint now)
@@ -53,6 +62,18 @@
   PassOutcome outcome = SchedulingPass(inputs, recorder).Decide();
   ApplyOutcome(outcome);
   workspaces_ = std::move(outcome.workspaces);
+  for (const auto& [id, use] : workspaces_) {
+    const std::string label = "{workspace=\"" + id.value() + "\"}";
+    const auto set = [&](const char* name, int64_t value) {
+      metrics_.GetGauge(std::string("quetzalshelf_workspace_") + name + label)
+          .Set(value);
+    };
+    set("accelerators", use.used.accelerators.value());
+    set("accelerators_cap", use.cap.accelerators.value());
+    set("steps_at_cap", use.waiting_at_cap);
+    set("share_permille", std::llround(use.share * kPermille));
+    set("due_share_permille", std::llround(use.due_share * kPermille));
+  }
 }
 
 bool Dispatcher::MoveGangMember(Job& job, const TaskId& id, TimePoint now) {
--- a/servers/batch/job_frontend.cc
+++ b/servers/batch/job_frontend.cc
@@ -246,7 +246,39 @@
   write->workspace = record.workspace;
   write->deadline = caller.deadline - kAnswerMargin;
   write->done = std::move(done);
-  Commit(write);
+  const WorkspaceConfig* const workspace =
+      site_.config()->FindWorkspace(record.workspace);
+  const auto blocked =
+      std::ranges::find_if(record.spec.steps, [workspace](const StepSpec& it) {
+        return workspace && !workspace->CanRun(it);
+      });
+  if (blocked == record.spec.steps.end())
+    Commit(write);
+  else
+    RefuseOverCap(write, record,
+                  static_cast<int>(blocked - record.spec.steps.begin()));
+}
+
+void JobFrontend::RefuseOverCap(const std::shared_ptr<Write>& write,
+                                const JobRecord& record,
+                                int step) {
+  std::string why = "step " + std::to_string(step) +
+                    " needs more than workspace " + record.workspace.value() +
+                    " may run at once";
+  // An earlier copy of the call may have been accepted before the cap was
+  // lowered; its job is not to be called refused.
+  ReadJob(record.id, record.workspace, write->deadline,
+          [this, write, id = record.id,
+           why = std::move(why)](const CallAnswer& answer) {
+            if (answer.outcome == CallOutcome::kFound) {
+              Finish(write, Answer(CallOutcome::kAccepted));
+            } else if (answer.outcome == CallOutcome::kNoSuchJob) {
+              LOG(WARNING) << "job " << id << " cannot be run: " << why;
+              Finish(write, Answer(CallOutcome::kBadRequest, why));
+            } else {
+              Finish(write, answer);
+            }
+          });
 }
 
 void JobFrontend::Commit(const std::shared_ptr<Write>& write) {
--- a/servers/batch/job_frontend.h
+++ b/servers/batch/job_frontend.h
@@ -109,6 +109,11 @@
   struct RepeatedRead;
 
   void Commit(const std::shared_ptr<Write>& write);
+  // Refuses a job of which the step can never run under the present cap, unless
+  // it was accepted before.
+  void RefuseOverCap(const std::shared_ptr<Write>& write,
+                     const JobRecord& record,
+                     int step);
   void Finish(const std::shared_ptr<Write>& write, CallAnswer answer);
   void OnCommitted(const std::shared_ptr<Write>& write,
                    const absl::StatusOr<CommitOutcome>& result);
--- a/servers/batch/planning/fair_shares.cc
+++ b/servers/batch/planning/fair_shares.cc
@@ -46,12 +46,6 @@
   return has_weights_ && DominantShare(used) >= DueShare(id);
 }
 
-bool FairShares::IsPostponed(const WorkspaceId& id,
-                             const Resources& used,
-                             Duration waited) const {
-  return waited < kMaxFairnessWait && IsBeyond(id, used);
-}
-
 double FairShares::WeightOf(const WorkspaceId& id) const {
   const auto it = weights_.find(id);
   return it == weights_.end() ? kDefaultWeight : it->second;
--- a/servers/batch/planning/fair_shares.h
+++ b/servers/batch/planning/fair_shares.h
@@ -1,6 +1,8 @@
 // Weighted shares of workspaces in a service that is short of room. Answers
 // the load of one workspace that sends far more than the others: its work waits
-// behind that of workspaces that use less than their share.
+// behind that of workspaces that use less than their share. None starves: one
+// that uses less than its share waits behind no other, and the shares of all
+// that have work add up to the whole.
 
 #ifndef SERVERS_BATCH_PLANNING_FAIR_SHARES_H_
 #define SERVERS_BATCH_PLANNING_FAIR_SHARES_H_
@@ -10,16 +12,11 @@
 #include <vector>
 
 #include "core/ids.h"
-#include "core/time.h"
 #include "core/units.h"
 #include "servers/batch/types.h"
 
 namespace quetzalshelf::batch {
 
-// Work that has waited this long is not put behind that of other workspaces
-// any more, so that no workspace starves.
-inline constexpr Duration kMaxFairnessWait{10'000};
-
 class FairShares {
  public:
   // Without weights in the configuration no workspace has a share, and the
@@ -35,13 +32,9 @@
   double DominantShare(const Resources& used) const;
   // The share that the workspace is due by its weight, from 0 to 1.
   double DueShare(const WorkspaceId& id) const;
-  // Whether `used` is at least what the workspace is due.
+  // Whether `used` is at least what the workspace is due, so that its work goes
+  // behind that of workspaces that use less.
   bool IsBeyond(const WorkspaceId& id, const Resources& used) const;
-  // Whether work that has waited for `waited` goes behind that of workspaces
-  // that use less than their share.
-  bool IsPostponed(const WorkspaceId& id,
-                   const Resources& used,
-                   Duration waited) const;
 
  private:
   double WeightOf(const WorkspaceId& id) const;
--- a/servers/batch/planning/reservations.cc
+++ b/servers/batch/planning/reservations.cc
@@ -40,6 +40,9 @@
 bool SchedulingPass::MayReserve(const PlacementUnit& unit) const {
   if (now_ < unit.step->reclaim_at)
     return false;
+  if (unit.postponed &&
+      owed_.contains({UrgencyOf(unit), unit.job->record().service}))
+    return false;
   const bool is_starving =
       unit.spec->gang && unit.late &&
       now_ - unit.step->ready_since >= kStarvationThreshold;
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -35,6 +35,8 @@
 // Urgent steps are expected to start sooner than this. Also the time between
 // two log lines on the wait of a step.
 constexpr Duration kWaitLogInterval{1'000};
+// The same for other steps, which are logged only when a cap holds them back.
+constexpr Duration kPatientLogInterval{10'000};
 // Occurrences start this long after they are due, since the clocks of VMs
 // differ slightly.
 constexpr int64_t kDueMarginMs = 30;
@@ -92,10 +94,11 @@
   for (PlacementUnit& it : units) {
     if (!postponed.empty() && UrgencyOf(*postponed.back()) != UrgencyOf(it))
       StartPostponed(std::exchange(postponed, {}));
-    if (IsPostponed(it))
+    it.postponed = IsPostponed(it);
+    if (it.postponed)
       postponed.push_back(&it);
-    else
-      TryUnit(it);
+    else if (!TryUnit(it) && shares_)
+      owed_.emplace(UrgencyOf(it), it.job->record().service);
   }
   StartPostponed(postponed);
 }
@@ -105,8 +108,7 @@
   if (!shares_ || unit.guaranteed)
     return false;
   const WorkspaceId& id = unit.job->record().workspace;
-  return shares_->IsPostponed(id, caps_.used(id),
-                              now_ - unit.step->ready_since);
+  return shares_->IsBeyond(id, caps_.used(id));
 }
 
 void SchedulingPass::StartPostponed(const std::vector<PlacementUnit*>& units) {
@@ -125,9 +127,11 @@
   }
 }
 
-void SchedulingPass::TryUnit(PlacementUnit& unit) {
-  if (const char* const why = StartUnit(unit))
+bool SchedulingPass::TryUnit(PlacementUnit& unit) {
+  const char* const why = StartUnit(unit);
+  if (why)
     LogWait(unit, why);
+  return !why;
 }
 
 Job* SchedulingPass::FindJob(const JobId& id) const {
@@ -328,16 +332,25 @@
 
 void SchedulingPass::LogWait(const PlacementUnit& unit, const char* why) const {
   const Duration waited = now_ - unit.step->ready_since;
-  if (unit.job->record().priority > 0 || waited < kWaitLogInterval ||
+  const WorkspaceId& workspace = unit.job->record().workspace;
+  const bool urgent = unit.job->record().priority == 0;
+  const Duration interval = urgent ? kWaitLogInterval : kPatientLogInterval;
+  if ((!urgent && !has_limits_) || waited < interval ||
       now_ < unit.step->next_wait_log)
     return;
-  unit.step->next_wait_log = now_ + kWaitLogInterval;
+  const std::string limits = caps_.Describe(workspace, unit.spec->resources);
+  if (!urgent && limits.empty())
+    return;
+  unit.step->next_wait_log = now_ + interval;
   LOG(INFO) << "step " << ToString(unit.id)
             << " waits for workers: tasks=" << unit.waiting.size()
             << " accelerators=" << unit.spec->resources.accelerators.value()
             << " gang=" << unit.spec->gang << " guaranteed=" << unit.guaranteed
             << " late=" << unit.late << " waited_ms=" << waited.count() << ": "
-            << why;
+            << why
+            << (limits.empty() ? ""
+                               : ", workspace " + workspace.value() +
+                                     " at its cap: " + limits);
 }
 
 const char* SchedulingPass::StartUnit(PlacementUnit& unit) {
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -94,6 +94,8 @@
     TimePoint objective;
     std::vector<int> waiting;  // Indexes of the tasks to place.
     bool suspect = false;      // Workers have crashed under them.
+    // Its workspace uses its share or more, so that others go first.
+    bool postponed = false;
 
     auto Rank() const {
       return std::tuple(job->record().priority, !guaranteed, late, objective,
@@ -134,7 +136,8 @@
   // Tries units that are equally urgent, always one of the workspace that uses
   // least of its share.
   void StartPostponed(const std::vector<PlacementUnit*>& units);
-  void TryUnit(PlacementUnit& unit);
+  // Starts the unit or logs why it waits. Whether it has started.
+  bool TryUnit(PlacementUnit& unit);
   std::set<JobId> GuaranteedJobs() const;
   std::vector<PlacementUnit> CollectUnits();
   std::vector<Candidate>& CandidatesOf(const ServiceName& service);
@@ -213,6 +216,9 @@
   const bool has_limits_;
   CapLedger caps_;
   std::optional<FairShares> shares_;
+  // Services in which work of such urgency waits although its workspace uses
+  // less than its share. Postponed work reserves no workers there.
+  std::set<std::pair<Urgency, ServiceName>> owed_;
   std::set<JobId> guaranteed_;
   // The free resources of the candidates shrink as units are placed.
   std::map<ServiceName, std::vector<Candidate>> candidates_;
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -168,7 +168,7 @@
 }
 
 CallerContext BatchFixture::Caller(const std::string& path) const {
-  return {"desk.example", path, "key-plaza", runner.Now() + kPatience};
+  return {"desk.example", path, key, runner.Now() + kPatience};
 }
 
 CallAnswer BatchFixture::Submit(const std::string& id,
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -81,6 +81,7 @@
   JobFrontend frontend;
   std::vector<Node> nodes;
   Duration run_time{2'500};
+  std::string key = "key-plaza";  // Of calls from now on.
   // Of nodes added from now on, from the store; 0: no limit.
   int64_t link_bytes_per_second = 0;
   DispatcherOptions dispatcher_options;  // Of nodes added from now on.
