Teach the soak caps, and test them under stops and jumping clocks

The soak sums what its workers run and reports an excess of the users' margin; a workspace at half of its cap may be held back. New cases: all processes end at the same moment, a time of day that jumps by 5 s, and a workspace below half of its cap beside room.

--- a/standins/fleet/fleet_codec.cc
+++ b/standins/fleet/fleet_codec.cc
@@ -65,7 +65,12 @@
     value["tenants"].push_back(
         {{"name", it.name.value()},
          {"keys", it.keys},
-         {"guaranteed", {{"gpu", it.guaranteed.value()}}}});
+         {"guaranteed", {{"gpu", it.guaranteed.value()}}},
+         {"weight", it.weight},
+         {"cap",
+          {{"gpu", it.cap.accelerators.value()},
+           {"cpu", it.cap.cpu.value()},
+           {"mem_mb", it.cap.memory.value()}}}});
   }
   return value.dump();
 }
--- a/tests/batch/workspace_limits_test.cc
+++ b/tests/batch/workspace_limits_test.cc
@@ -191,6 +191,60 @@
         JobPhase::kComplete);
 }
 
+TEST_CASE("Processes that end at the same moment bring nobody over a cap") {
+  CapFixture fixture(20);
+  fixture.AddNode("n2");
+  fixture.AddNode("n3");
+  fixture.Add(60, 1, false);
+  fixture.Run(Duration(2'200));
+  for (size_t n = 0; n < 3; ++n)
+    fixture.Kill(n);
+  CHECK(fixture.RunAndWatch(Duration(500)) <= 20);
+  for (const char* const name : {"n4", "n5", "n6"})
+    fixture.AddNode(name);
+  CHECK(fixture.RunAndWatch(Duration(30'000)) <= 20);
+  CHECK(fixture.State(JobName(0)).phase == JobPhase::kComplete);
+}
+
+TEST_CASE("A workspace below half of its cap does not stand beside room") {
+  CapFixture fixture(32);
+  fixture.run_time = Duration(60'000);
+  fixture.Add(12, 1, false);
+  fixture.Run(Duration(3'000));
+  REQUIRE(fixture.Running() == 12);
+  fixture.Add(4, 1, false, "/sketches/");
+  fixture.Add(2, 8, true, "/sketches/");
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.Running() == 32);
+}
+
+TEST_CASE("A time of day that jumps moves due times only") {
+  constexpr Duration kJump{5'000};
+  constexpr Duration kEarliest{250};
+  for (const Duration jump : {kJump, Duration(0) - kJump}) {
+    CAPTURE(jump.count());
+    CapFixture fixture(16);
+    JobSpec timed = MakeJob(1, 1, false);
+    timed.recurrence = {.occurrences = 1,
+                        .first_wall_ms = fixture.runner.WallMillis() + 8'000,
+                        .period = Duration(1'000)};
+    const TimePoint due = fixture.runner.Now() + Duration(8'000);
+    fixture.Submit(JobName(1), timed);
+    fixture.Submit(JobName(2), MakeJob(2, 1, false));
+    fixture.Run(Duration(1'000));
+    fixture.runner.StepWallClock(jump);
+    CHECK(fixture.RunUntilFinal(JobName(2), Duration(6'000)) ==
+          JobPhase::kComplete);
+    CHECK(fixture.RunUntilFinal(JobName(1), Duration(20'000)) ==
+          JobPhase::kComplete);
+    CHECK(fixture.workers.first_start(Task(JobName(1), 0)) >=
+          due - kJump - kEarliest);
+    CHECK(fixture.workers.starts(Task(JobName(1), 0)) == 1);
+    CHECK(fixture.workers.starts(Task(JobName(2), 0)) == 1);
+    CHECK(fixture.workers.violations().empty());
+  }
+}
+
 // Random jobs, cuts, late orders, restarts, leaders and caps against a count of
 // what really runs.
 TEST_CASE("Random trouble brings no workspace over its cap") {
--- a/tests/soak/soak_callers.cc
+++ b/tests/soak/soak_callers.cc
@@ -27,6 +27,8 @@
 constexpr Duration kSecondLook{1'500};
 constexpr double kResubmitChance = 0.2;
 constexpr double kCancelChance = 0.15;
+// By how much the users let a workspace be over its cap, besides one task.
+constexpr double kCapOverrun = 0.1;
 
 bool IsRefusal(int status) {
   return status == http_status::kTooManyRequests ||
@@ -359,8 +361,36 @@
   return !over;
 }
 
+int64_t SoakCallers::CountRunning() const {
+  const std::vector<batch::TaskId> running = workers_.RunningTasks();
+  int64_t sum = 0;
+  for (const JobPointer& job : jobs_) {
+    const int64_t each = job->spec.steps.front().resources.accelerators.value();
+    sum +=
+        each * std::ranges::count(running, JobId(job->id), &batch::TaskId::job);
+  }
+  return sum;
+}
+
+void SoakCallers::CheckCap(Accelerators cap) {
+  int64_t largest = 0;
+  for (const JobPointer& it : jobs_) {
+    largest = std::max(largest,
+                       it->spec.steps.front().resources.accelerators.value());
+  }
+  const auto limit = static_cast<int64_t>(static_cast<double>(cap.value()) *
+                                          (1 + kCapOverrun)) +
+                     largest;
+  if (const int64_t running = CountRunning(); running > limit) {
+    violations_.push_back(absl::StrFormat(
+        "the workspace runs %d accelerators at %d ms, it may run %d", running,
+        (clock_.Now() - began_).count(), limit));
+  }
+}
+
 void SoakCallers::CheckStandingJobs(
     const std::vector<batch::WorkerEntry>& workers,
+    Accelerators cap,
     TimePoint calm_since) {
   std::map<WorkerId, int> used;
   std::vector<StandCheck::Job> jobs;
@@ -381,6 +411,9 @@
     if (!may_be_over && IsIdle(*it))
       jobs.push_back({it->id, it->accepted_at, step.tasks, each});
   }
+  // From half of its cap on a workspace may be held back.
+  if (CountRunning() * 2 >= cap.value())
+    jobs.clear();
   std::vector<StandCheck::Room> rooms;
   for (const batch::WorkerEntry& it : workers) {
     const int all = static_cast<int>(it.capacity.accelerators.value());
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -56,9 +56,12 @@
   void SubmitSurge(int jobs);
   // Asks each node how many jobs of one queue wait.
   void AskCounts();
+  // Looks for a workspace that runs more than the users let it beyond its cap.
+  void CheckCap(Accelerators cap);
   // Looks for accepted jobs that stand still although `workers` have room for
   // them. `calm_since` is when the last fault ended.
   void CheckStandingJobs(const std::vector<batch::WorkerEntry>& workers,
+                         Accelerators cap,
                          TimePoint calm_since);
   // Jobs that are not settled yet.
   int open_jobs() const { return open_jobs_; }
@@ -72,6 +75,8 @@
   std::vector<std::string> OpenJobs() const;
 
  private:
+  // Accelerators of all tasks that run.
+  int64_t CountRunning() const;
   struct Job;
   using JobPointer = std::shared_ptr<Job>;
   using Callback = std::function<void(const absl::StatusOr<HttpResponse>&)>;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -43,6 +43,8 @@
 
   int store_port() const { return store_server_.port(); }
   size_t worker_count() const { return slots_.size(); }
+  // What the only workspace may have running.
+  Accelerators cap() const;
   const batch::WorkerEntry& worker(size_t n) const { return slots_[n].entry; }
   FaultProxy& worker_proxy(size_t n) { return *slots_[n].proxy; }
   ModelWorkerFaults& worker_faults(size_t n);
