--- a/servers/batch/planning/cap_ledger.cc
+++ b/servers/batch/planning/cap_ledger.cc
@@ -36,6 +36,11 @@
     it->second.used -= amount;
 }
 
+void CapLedger::Hold(const WorkspaceId& id, const Resources& amount) {
+  if (const auto it = accounts_.find(id); it != accounts_.end())
+    it->second.held += amount;
+}
+
 void CapLedger::ExpectEnd(const WorkspaceId& id, const Resources& amount) {
   if (const auto it = accounts_.find(id); it != accounts_.end())
     it->second.ending += amount;
@@ -53,8 +58,9 @@
   if (it == accounts_.end())
     return kUnlimitedTasks;
   const Account& account = it->second;
-  return CountTasksIn(Scale(account.cap, 1 - kept_share) - account.used,
-                      account.cap, each);
+  return CountTasksIn(
+      Scale(account.cap, 1 - kept_share) - account.used - account.held,
+      account.cap, each);
 }
 
 Resources CapLedger::Excess(const WorkspaceId& id,
@@ -63,7 +69,7 @@
   if (it == accounts_.end())
     return {};
   const Account& account = it->second;
-  const Resources later = account.used + amount - account.ending;
+  const Resources later = account.used + account.held + amount - account.ending;
   return {
       Accelerators(ExcessOf(later.accelerators.value(),
                             account.cap.accelerators.value())),
@@ -77,23 +83,24 @@
 }
 
 std::string CapLedger::Describe(const WorkspaceId& id,
-                                const Resources& each) const {
+                                const Resources& amount) const {
   const auto it = accounts_.find(id);
   if (it == accounts_.end())
     return {};
-  const auto& [cap, used, ending] = it->second;
+  const Resources& cap = it->second.cap;
+  const Resources& used = it->second.used;
   std::string text;
-  const auto add = [&text](int64_t in_use, int64_t limit, int64_t one,
+  const auto add = [&text](int64_t in_use, int64_t limit, int64_t more,
                            const char* unit) {
-    if (limit <= 0 || in_use + one <= limit)
+    if (limit <= 0 || in_use + more <= limit)
       return;
     text += (text.empty() ? "" : ", ") + std::to_string(in_use) + " of " +
             std::to_string(limit) + unit;
   };
   add(used.accelerators.value(), cap.accelerators.value(),
-      each.accelerators.value(), " accelerators");
-  add(used.cpu.value(), cap.cpu.value(), each.cpu.value(), " millicores");
-  add(used.memory.value(), cap.memory.value(), each.memory.value(),
+      amount.accelerators.value(), " accelerators");
+  add(used.cpu.value(), cap.cpu.value(), amount.cpu.value(), " millicores");
+  add(used.memory.value(), cap.memory.value(), amount.memory.value(),
       " MiB of memory");
   return text;
 }
--- a/servers/batch/planning/cap_ledger.h
+++ b/servers/batch/planning/cap_ledger.h
@@ -24,9 +24,12 @@
   // other workspaces are passed over.
   explicit CapLedger(const std::vector<WorkspaceConfig>& workspaces);
 
-  // Counts `amount` as running, reserved or held.
+  // Counts `amount` as running or reserved.
   void Charge(const WorkspaceId& id, const Resources& amount);
   void Release(const WorkspaceId& id, const Resources& amount);
+  // Keeps `amount` for waiting work, so that nothing that comes after it takes
+  // what becomes free.
+  void Hold(const WorkspaceId& id, const Resources& amount);
   // Counts a part of what is charged as about to end: it was told to stop.
   void ExpectEnd(const WorkspaceId& id, const Resources& amount);
 
@@ -42,14 +45,15 @@
   Resources Excess(const WorkspaceId& id, const Resources& amount) const;
   Resources used(const WorkspaceId& id) const;
 
-  // The amounts that keep a task of this size from starting, as `320 of 323
-  // accelerators`; for logs.
-  std::string Describe(const WorkspaceId& id, const Resources& each) const;
+  // The amounts that keep `amount` from starting, as `320 of 323 accelerators`;
+  // for logs.
+  std::string Describe(const WorkspaceId& id, const Resources& amount) const;
 
  private:
   struct Account {
     Resources cap;
     Resources used;
+    Resources held;
     Resources ending;
   };
 
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -338,7 +338,9 @@
   if ((!urgent && !has_limits_) || waited < interval ||
       now_ < unit.step->next_wait_log)
     return;
-  const std::string limits = caps_.Describe(workspace, unit.spec->resources);
+  const std::string limits = caps_.Describe(
+      workspace,
+      unit.spec->resources * (unit.spec->gang ? std::ssize(unit.waiting) : 1));
   if (!urgent && limits.empty())
     return;
   unit.step->next_wait_log = now_ + interval;
--- a/servers/batch/planning/workspace_limits.cc
+++ b/servers/batch/planning/workspace_limits.cc
@@ -144,7 +144,7 @@
                               ? MakeRoomUnderCap(unit, amount)
                               : "its workspace is at its cap";
   // Work that comes after it must not take what becomes free.
-  caps_.Charge(id, each * needed);
+  caps_.Hold(id, each * needed);
   return why;
 }
 
@@ -201,7 +201,7 @@
            "it gains";
   LOG(INFO) << "step " << ToString(unit.id)
             << " takes the place of other runs under the cap of workspace "
-            << id << ": " << caps_.Describe(id, unit.spec->resources)
+            << id << ": used=" << caps_.Describe(id, amount)
             << " stops=" << stops.size() << " lost_core_s=" << plan.lost_work
             << " guaranteed=" << unit.guaranteed
             << " waited_ms=" << waited.count();
