--- a/servers/batch/planning/cap_ledger.cc
+++ b/servers/batch/planning/cap_ledger.cc
@@ -82,6 +82,11 @@
   return it == accounts_.end() ? Resources() : it->second.used;
 }
 
+Resources CapLedger::cap(const WorkspaceId& id) const {
+  const auto it = accounts_.find(id);
+  return it == accounts_.end() ? Resources() : it->second.cap;
+}
+
 std::string CapLedger::Describe(const WorkspaceId& id,
                                 const Resources& amount) const {
   const auto it = accounts_.find(id);
--- a/servers/batch/planning/cap_ledger.h
+++ b/servers/batch/planning/cap_ledger.h
@@ -44,6 +44,8 @@
   // told to stop has ended; zero in each amount that has room.
   Resources Excess(const WorkspaceId& id, const Resources& amount) const;
   Resources used(const WorkspaceId& id) const;
+  // No limits for a workspace without a cap.
+  Resources cap(const WorkspaceId& id) const;
 
   // The amounts that keep `amount` from starting, as `320 of 323 accelerators`;
   // for logs.
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -240,7 +240,7 @@
     const JobId& job_id = job.record().id;
     if (job.IsFinal())
       continue;
-    const Resources cap = CapOf(job);
+    const Resources cap = caps_.cap(job.record().workspace);
     const TimePoint objective = job.Objective(cap);
     TaskId id{job_id};
     for (OccurrenceProgress& occurrence : job.occurrences()) {
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -172,8 +172,6 @@
 
   // workspace_limits.cc: caps of workspaces.
   const WorkspaceConfig* WorkspaceOf(const Job& job) const;
-  // No limit for an unknown workspace.
-  Resources CapOf(const Job& job) const;
   // Reduces the demand to what the workspace may start now. Returns why it may
   // start nothing, null if it may.
   const char* LimitToCap(const PlacementUnit& unit, Demand& demand);
--- a/servers/batch/planning/workspace_limits.cc
+++ b/servers/batch/planning/workspace_limits.cc
@@ -70,13 +70,6 @@
   return inputs_.site.config()->FindWorkspace(job.record().workspace);
 }
 
-Resources SchedulingPass::CapOf(const Job& job) const {
-  if (!has_limits_)
-    return {};
-  const WorkspaceConfig* const workspace = WorkspaceOf(job);
-  return workspace ? workspace->cap : Resources();
-}
-
 void SchedulingPass::ChargeStray(const WorkerId& worker, const TaskId& id) {
   if (!has_limits_)
     return;
