Bound the memory that callers of an entry node may hold together

Each message and the number of connections had a limit, their product had none: 300 clients with bodies of legal size that stop one byte short, of which all came at once, in pieces, in chunks or after a whole body, took an entry node to 92, 97, 91 and 113 MB where it had 64.

EventHttpServer counts what requests and answers hold, with the capacity that their strings keep, and refuses the largest unfinished requests with 503 beyond a quarter of the VM's memory. A refused request was not handled. An answer that is not taken in 3 s ends its connection.

The interface of the standalone daemon is not covered yet.

--- a/bench/processes/child_process.h
+++ b/bench/processes/child_process.h
@@ -36,6 +36,7 @@
   ChildProcess& operator=(const ChildProcess&) = delete;
 
   int port() const { return port_; }
+  pid_t pid() const { return pid_; }
   void Signal(int signal) const;
   // Waits for the end and gives the exit code, or -1 after a signal.
   int Wait();
--- a/drivers/http/event_http_server.cc
+++ b/drivers/http/event_http_server.cc
@@ -1,6 +1,8 @@
 #include "drivers/http/event_http_server.h"
 
 #include <array>
+#include <chrono>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -23,6 +25,8 @@
 // closed without an answer.
 constexpr int kRefusalConnections = 32;
 constexpr char kRefusalRetryAfter[] = "1";  // Seconds.
+// Time between two log lines on requests that are refused for lack of memory.
+constexpr Duration kMemoryLogInterval{1'000};
 // Pause of accepting after a failure such as a lack of descriptors.
 constexpr Duration kAcceptRetry{100};
 
@@ -58,10 +62,21 @@
   int port() const { return port_; }
   int in_flight() const { return in_flight_; }
   int connections() const { return static_cast<int>(connections_.size()); }
+  size_t held_bytes() const { return held_bytes_; }
+  int64_t refused_for_memory() const { return refused_for_memory_; }
 
  private:
   class Connection;
 
+  bool IsOverLimit() const {
+    return options_.held_bytes_limit > 0 &&
+           held_bytes_ > options_.held_bytes_limit;
+  }
+  // Refuses unfinished requests, the largest first, until the rest is within
+  // the limit.
+  void MakeRoom();
+  void RecordRefusal();
+
   void Accept();
   // Logs when the limit is reached, and when there is room again.
   void LogLimit(bool full);
@@ -76,6 +91,10 @@
   int in_flight_ = 0;
   bool draining_ = false;
   bool full_ = false;
+  size_t held_bytes_ = 0;
+  int64_t refused_for_memory_ = 0;
+  int64_t logged_refusals_ = 0;
+  std::optional<std::chrono::steady_clock::time_point> logged_at_;
 };
 
 // One connection: reads a request, waits for its answer, writes it, and reads
@@ -105,10 +124,27 @@
     asio::error_code ec;
     timer_.cancel();
     socket_.close(ec);
+    ReleaseMemory();
+    Charge(0);
     if (const auto server = server_.lock())
       server->connections_.erase(shared_from_this());
   }
 
+  size_t charged() const { return charged_; }
+  // Whether a part of a request has come, and none of it was handled.
+  bool has_unfinished_request() const {
+    return !busy_ && !closed_ && parser_.started();
+  }
+
+  // Answers with 503 a request that was not handled, and closes the connection,
+  // since the rest of the request may still come.
+  void Refuse() {
+    ReleaseMemory();
+    Write({.status = http_status::kServiceUnavailable,
+           .headers = {{"Retry-After", kRefusalRetryAfter}}},
+          false);
+  }
+
   // Closes an idle connection after `linger`.
   void BeginDrain(Duration linger) {
     idle_timeout_ = linger;
@@ -120,11 +156,33 @@
   void Arm(Duration timeout) {
     timer_.expires_after(timeout);
     timer_.async_wait([self = shared_from_this()](const asio::error_code& ec) {
-      if (!ec && !self->busy_)
+      if (!ec && (!self->busy_ || self->writing_))
         self->Close();
     });
   }
 
+  // Counts what the connection holds by now.
+  void Charge() {
+    Charge(pending_.capacity() + parser_.held_bytes() + text_.capacity() +
+           handled_bytes_);
+  }
+
+  void Charge(size_t held) {
+    if (const auto server = server_.lock())
+      server->held_bytes_ += held - charged_;
+    charged_ = held;
+  }
+
+  void ReleaseMemory() {
+    parser_.ReleaseMemory();
+    std::string().swap(pending_);
+    handled_bytes_ = 0;
+    // A write under way needs its text.
+    if (!writing_)
+      std::string().swap(text_);
+    Charge();
+  }
+
   void Read() {
     socket_.async_read_some(
         asio::buffer(buf_),
@@ -155,7 +213,12 @@
     if (!parser_.done()) {
       if (!was_started && parser_.started())
         Arm(request_timeout_);
-      Read();
+      Charge();
+      if (const auto server = server_.lock())
+        server->MakeRoom();
+      // It may be the one that was refused.
+      if (!busy_ && !closed_)
+        Read();
       return;
     }
     Dispatch();
@@ -168,18 +231,29 @@
       return;
     }
     if (refuse_) {
-      Write({.status = http_status::kServiceUnavailable,
-             .headers = {{"Retry-After", kRefusalRetryAfter}}},
-            false);
+      Refuse();
+      return;
+    }
+    Charge();
+    // Requests that are being handled count first.
+    server->MakeRoom();
+    if (busy_ || closed_)
+      return;
+    if (server->IsOverLimit()) {
+      server->RecordRefusal();
+      Refuse();
       return;
     }
+    const size_t held = parser_.held_bytes();
     HttpRequest request;
     request.method = parser_.method();
     ParseTarget(parser_.target(), request);
     request.headers = std::move(parser_.headers());
     request.body = std::move(parser_.body());
     const bool keep_alive = parser_.keep_alive();
-    parser_.Reset();
+    parser_.ReleaseMemory();
+    handled_bytes_ = held;
+    Charge();
     busy_ = true;
     ++server->in_flight_;
     server->handler_(std::move(request),
@@ -197,12 +271,16 @@
       --server->in_flight_;
     if (!server || closed_)
       return;
+    handled_bytes_ = 0;
     Write(response, keep_alive && !server->draining_);
   }
 
   void Write(const HttpResponse& response, bool keep_alive) {
     busy_ = true;
+    writing_ = true;
     text_ = SerializeResponse(response, keep_alive);
+    Charge();
+    Arm(request_timeout_);
     asio::async_write(socket_, asio::buffer(text_),
                       [self = shared_from_this(), keep_alive](
                           const asio::error_code& ec, size_t) {
@@ -211,8 +289,11 @@
   }
 
   void OnWritten(const asio::error_code& ec, bool keep_alive) {
+    writing_ = false;
     if (closed_)
       return;
+    std::string().swap(text_);
+    Charge();
     if (ec || !keep_alive) {
       asio::error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -235,7 +316,10 @@
   Duration idle_timeout_;
   Duration request_timeout_;
   bool busy_ = false;
+  bool writing_ = false;
   bool closed_ = false;
+  size_t handled_bytes_ = 0;  // Of the request that is being handled.
+  size_t charged_ = 0;        // Of the server's `held_bytes_`.
 };
 
 absl::Status EventHttpServer::Impl::Start() {
@@ -302,6 +386,34 @@
   }
 }
 
+void EventHttpServer::Impl::MakeRoom() {
+  while (IsOverLimit()) {
+    std::shared_ptr<Connection> largest;
+    for (const auto& it : connections_) {
+      if (it->has_unfinished_request() &&
+          (!largest || it->charged() > largest->charged()))
+        largest = it;
+    }
+    if (!largest)
+      return;
+    RecordRefusal();
+    largest->Refuse();
+  }
+}
+
+void EventHttpServer::Impl::RecordRefusal() {
+  ++refused_for_memory_;
+  const auto now = std::chrono::steady_clock::now();
+  if (logged_at_ && now - *logged_at_ < kMemoryLogInterval)
+    return;
+  LOG(WARNING) << "memory for callers is full, refusing the largest requests: "
+               << "refused=" << refused_for_memory_ - logged_refusals_
+               << " held_bytes=" << held_bytes_
+               << " limit=" << options_.held_bytes_limit << " port=" << port_;
+  logged_at_ = now;
+  logged_refusals_ = refused_for_memory_;
+}
+
 void EventHttpServer::Impl::BeginDrain(Duration linger) {
   draining_ = true;
   options_.idle_timeout = linger;
@@ -344,6 +456,14 @@
   return impl_->in_flight();
 }
 
+size_t EventHttpServer::held_bytes() const {
+  return impl_->held_bytes();
+}
+
+int64_t EventHttpServer::refused_for_memory() const {
+  return impl_->refused_for_memory();
+}
+
 int EventHttpServer::connections() const {
   return impl_->connections();
 }
--- a/drivers/http/event_http_server.h
+++ b/drivers/http/event_http_server.h
@@ -25,8 +25,13 @@
   HttpMessageLimits limits;
   // A connection without a request for this long is closed.
   Duration idle_timeout{0};
-  // Time for a request to arrive completely after its first byte.
+  // Time for a request to arrive completely after its first byte, and for an
+  // answer to be taken.
   Duration request_timeout{0};
+  // Most that requests and answers of all connections may hold together, in
+  // bytes; 0: no limit. Beyond it the largest unfinished requests are refused
+  // with 503, which have not been handled.
+  size_t held_bytes_limit = 0;
 };
 
 // A connection costs one descriptor and its buffers, not a thread.
@@ -55,6 +60,10 @@
   // Requests that were read and have no answer yet.
   int requests_in_flight() const;
   int connections() const;
+  // Held by requests and answers of all connections.
+  size_t held_bytes() const;
+  // Requests that were refused for `held_bytes_limit` so far.
+  int64_t refused_for_memory() const;
 
  private:
   class Impl;
--- a/drivers/http/http_stream_parser.cc
+++ b/drivers/http/http_stream_parser.cc
@@ -31,6 +31,22 @@
   error_ = Error::kNone;
 }
 
+size_t HttpStreamParser::held_bytes() const {
+  size_t sum = target_.capacity() + body_.capacity() +
+               headers_.capacity() * sizeof(HttpField);
+  for (const HttpField& it : headers_)
+    sum += it.name.capacity() + it.value.capacity();
+  return sum;
+}
+
+void HttpStreamParser::ReleaseMemory() {
+  // Assigning an empty string would keep the capacity.
+  std::string().swap(target_);
+  HttpFields().swap(headers_);
+  std::string().swap(body_);
+  Reset();
+}
+
 size_t HttpStreamParser::Feed(std::string_view bytes) {
   if (done_ || error_ != Error::kNone || bytes.empty())
     return 0;
--- a/drivers/http/http_stream_parser.h
+++ b/drivers/http/http_stream_parser.h
@@ -37,6 +37,11 @@
   void FeedEnd();
   void Reset();
 
+  // Memory of the texts of the current message, in bytes.
+  size_t held_bytes() const;
+  // Like Reset, and gives that memory back.
+  void ReleaseMemory();
+
   bool done() const { return done_; }
   // Whether any byte of the current message has arrived.
   bool started() const { return started_; }
--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -31,6 +31,11 @@
 // connections and orders.
 constexpr int kReservedDescriptors = 1'000;
 constexpr int kMinConnections = 100;
+// Share of the VM's memory that requests and answers of callers may hold, as a
+// divisor. The rest is for the node itself: its rows while it leads, calls to
+// workers and the store, and memory between buffers.
+constexpr size_t kCallerMemoryShare = 4;
+constexpr size_t kMegabyte = size_t{1} << 20;
 constexpr Duration kIdleTimeout{15'000};
 constexpr Duration kRequestTimeout{3'000};
 constexpr int kInternalConnections = 16;
@@ -90,6 +95,15 @@
           .request_timeout = kRequestTimeout};
 }
 
+EventHttpServerOptions CallerOptions(const platform::EntrySettings& settings) {
+  EventHttpServerOptions options =
+      ServerOptions(settings.callers.host, settings.callers.port,
+                    CallerLimit(settings.max_descriptors));
+  options.held_bytes_limit =
+      static_cast<size_t>(settings.memory_mb) * kMegabyte / kCallerMemoryShare;
+  return options;
+}
+
 }  // namespace
 
 EntryNode::EntryNode(asio::io_context& io,
@@ -134,9 +148,7 @@
                 {.max_config_age = settings.revoke_limit * 56 / 100}),
       caller_api_(frontend_, clock_, metrics_),
       caller_server_(io,
-                     ServerOptions(settings.callers.host,
-                                   settings.callers.port,
-                                   CallerLimit(settings.max_descriptors)),
+                     CallerOptions(settings),
                      [this](const HttpRequest& request,
                             const EventHttpServer::Reply& reply) {
                        caller_api_.Handle(request, reply);
@@ -263,6 +275,10 @@
 void EntryNode::HandleMetrics(const EventHttpServer::Reply& reply) {
   HttpResponse response;
   response.content_type = "text/plain";
+  metrics_.GetGauge("quetzalshelf_caller_held_bytes")
+      .Set(static_cast<int64_t>(caller_server_.held_bytes()));
+  metrics_.GetGauge("quetzalshelf_caller_refused_for_memory")
+      .Set(caller_server_.refused_for_memory());
   response.body = metrics_.Expose();
   reply(response);
 }
--- a/tests/drivers/event_http_test.cc
+++ b/tests/drivers/event_http_test.cc
@@ -2,7 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -285,4 +287,59 @@
   CHECK(absl::IsUnavailable(Call(io, client, std::move(named)).status()));
 }
 
+TEST_CASE(
+    "The largest unfinished requests are refused beyond the memory for "
+    "callers") {
+  asio::io_context io;
+  int handled = 0;
+  EventHttpServer server(
+      io,
+      {.host = "127.0.0.1",
+       .connection_limit = 16,
+       .limits = {512, 65'536},
+       .idle_timeout = kLongTimeout,
+       .request_timeout = kLongTimeout,
+       .held_bytes_limit = 131'072},
+      [&](const HttpRequest&, const EventHttpServer::Reply& reply) {
+        ++handled;
+        reply({.status = 200});
+      });
+  REQUIRE(server.Start().ok());
+  const auto connect = [&](const std::string& bytes) {
+    auto socket = std::make_unique<tcp::socket>(io);
+    socket->connect({asio::ip::make_address("127.0.0.1"),
+                     static_cast<asio::ip::port_type>(server.port())});
+    asio::write(*socket, asio::buffer(bytes));
+    return socket;
+  };
+  const auto post = [](size_t length, size_t sent) {
+    return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n" + std::string(sent, 'x');
+  };
+  const auto run_while = [&io](const std::function<bool()>& waits) {
+    while (waits())
+      REQUIRE(io.run_one_for(std::chrono::seconds(60)) > 0);
+  };
+  const auto small = connect(post(2'001, 2'000));
+  run_while([&] { return server.held_bytes() < 2'000; });
+  const auto first = connect(post(60'001, 60'000));
+  const auto second = connect(post(60'001, 60'000));
+  run_while([&] { return server.refused_for_memory() == 0; });
+  CHECK(server.held_bytes() <= 131'072);
+  CHECK(handled == 0);
+  // The small one goes on, and a single request of legal size is served.
+  asio::write(*small, asio::buffer("x", 1));
+  run_while([&] { return handled == 0; });
+  first->close();
+  second->close();
+  small->close();
+  run_while([&] { return server.connections() > 0; });
+  CHECK(server.held_bytes() == 0);
+  const auto whole = connect(post(60'000, 60'000));
+  run_while([&] { return handled == 1; });
+  whole->close();
+  run_while([&] { return server.connections() > 0; });
+  CHECK(server.held_bytes() == 0);
+}
+
 }  // namespace quetzalshelf
--- a/tests/soak/entry_process.cc
+++ b/tests/soak/entry_process.cc
@@ -52,6 +52,8 @@
        << options_.cpu_share << "\n"
        << "  stop_grace_s: " << kStopGrace.count() / 1'000
        << "\n  revoke_ms: 5000\n";
+  if (options_.memory_mb > 0)
+    file << "  memory_mb: " << options_.memory_mb << "\n";
   return file.good() ? absl::OkStatus()
                      : absl::UnavailableError("settings cannot be written to " +
                                               options_.work_dir);
--- a/tests/soak/entry_process.h
+++ b/tests/soak/entry_process.h
@@ -26,6 +26,7 @@
   int store_port = 0;
   double cpu_share = 0.5;             // As told to the node; not enforced.
   int64_t link_bytes_per_second = 0;  // From the store; 0: no limit.
+  int memory_mb = 0;                  // As told to the node; 0: not told.
 };
 
 // Each signal has its effect on the process of that moment, if there is one.
@@ -47,6 +48,7 @@
   // process since the last call; empty when nothing did.
   std::string Tick(TimePoint now);
 
+  pid_t pid() const { return process_.pid(); }
   const std::string& name() const { return options_.name; }
   int caller_port() const { return caller_proxy_.port(); }
   FaultProxy& caller_proxy() { return caller_proxy_; }
