--- a/bench/main/pass_bench.cc
+++ b/bench/main/pass_bench.cc
@@ -89,7 +89,7 @@
     for (int n = 0; n < kWorkspaces; ++n) {
       WorkspaceConfig workspace{.name = WorkspaceName(n)};
       if (caps)
-        workspace.cap.accelerators = Accelerators(kTasks * 3);
+        workspace.cap.accelerators = Accelerators(int64_t{kTasks} * 3);
       if (weights)
         workspace.weight = 1 + n % 3;
       config.workspaces.push_back(workspace);
