--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,9 +7,9 @@
 rm -rf "$out"
 mkdir -p "$out"
 pids=()
-for source in "$root"/review/harness-3/*.cc; do
+for source in "$root"/review/harness-3/*.cpp; do
   g++ -std=c++20 -O2 -Wall -Wextra -c "$source" \
-    -o "$out/$(basename "$source" .cc).o" &
+    -o "$out/$(basename "$source" .cpp).o" &
   pids+=("$!")
 done
 for pid in "${pids[@]}"; do
--- a/review/harness-3/case_changed_kind.cc
+++ b/review/harness-3/case_changed_kind.cpp
@@ -1,7 +1,7 @@
 // An executor crashes and starts again under its id, as one of another kind,
 // while tasks wait that need its former kind.
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace review {
 
--- a/review/harness-3/case_crashing_task.cc
+++ b/review/harness-3/case_crashing_task.cpp
@@ -2,7 +2,7 @@
 
 #include <csignal>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace review {
 
@@ -19,9 +19,9 @@
 CaseResult PlayCrashingTask(FleetOptions options, bool trouble) {
   Fleet fleet(options);
   fleet.Start();
-  fleet.Submit(kJob, fleet.urgent(), "ms=8000 cpu=1000 mem=64 crash=2500",
-               {{{"count", 1}, {"cpu", 1'000}, {"mem_mb", 64},
-                 {"estimate_ms", 8'000}}});
+  fleet.Submit(
+      kJob, fleet.urgent(), "ms=8000 cpu=1000 mem=64 crash=2500",
+      {{{"count", 1}, {"cpu", 1'000}, {"mem_mb", 64}, {"estimate_ms", 8'000}}});
   const auto count = [&](const std::string& what) {
     int sum = 0;
     for (const Executor::Event& it : fleet.events())
@@ -39,9 +39,8 @@
     fleet.RunFor(Millis(3'500));
     leader.Start();
   }
-  fleet.RunUntil(kLength, [&] {
-    return count("crash") > kFreeCrashes + kAllowedStarts;
-  });
+  fleet.RunUntil(
+      kLength, [&] { return count("crash") > kFreeCrashes + kAllowedStarts; });
   fleet.Ask(kJob);
   fleet.RunFor(Millis(2'000));
   int crashes = 0;
@@ -53,7 +52,8 @@
       ++starts;
   }
   return {.broken = starts > kAllowedStarts,
-          .what = std::to_string(crashes) + " executors crashed under the task; " +
+          .what = std::to_string(crashes) +
+                  " executors crashed under the task; " +
                   "starts after the third crash: " + std::to_string(starts) +
                   "; the job is shown as " + fleet.jobs().at(kJob).state};
 }
--- a/review/harness-3/case_evacuation.cc
+++ b/review/harness-3/case_evacuation.cpp
@@ -3,7 +3,7 @@
 
 #include <csignal>
 
-#include "cases.h"
+#include "cases.hpp"
 
 namespace review {
 
@@ -35,7 +35,10 @@
     char id[17];
     std::snprintf(id, sizeof(id), "5c0e7a21d94b%04x", 0x4000 + n);
     fleet.Submit(id, fleet.urgent(), "ms=6000 cpu=8000 mem=64",
-                 {{{"count", 4}, {"cpu", 8'000}, {"mem_mb", 64}, {"gpu", 2},
+                 {{{"count", 4},
+                   {"cpu", 8'000},
+                   {"mem_mb", 64},
+                   {"gpu", 2},
                    {"estimate_ms", 6'000}}});
   }
   fleet.RunFor(Millis(150));
--- a/review/harness-3/cases.h
+++ b/review/harness-3/cases.hpp
@@ -1,11 +1,11 @@
 // The cases of this review. Each plays one day on a small deployment.
 
-#ifndef REVIEW_HARNESS_3_CASES_H_
-#define REVIEW_HARNESS_3_CASES_H_
+#ifndef REVIEW_HARNESS_3_CASES_HPP_
+#define REVIEW_HARNESS_3_CASES_HPP_
 
 #include <string>
 
-#include "fleet.h"
+#include "fleet.hpp"
 
 namespace review {
 
@@ -15,11 +15,12 @@
 };
 
 // With `trouble` false, the same without the disruption.
-CaseResult PlayLargeScheduledJobs(FleetOptions options, bool trouble);
 CaseResult PlayCrashingTask(FleetOptions options, bool trouble);
 CaseResult PlayEvacuation(FleetOptions options, bool trouble);
 CaseResult PlayChangedKind(FleetOptions options, bool trouble);
+CaseResult PlayLateStart(FleetOptions options, bool trouble);
+CaseResult PlayLimitOfStep(FleetOptions options, bool trouble);
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_CASES_H_
+#endif  // REVIEW_HARNESS_3_CASES_HPP_
--- a/review/harness-3/entry.cc
+++ b/review/harness-3/entry.cpp
@@ -1,4 +1,4 @@
-#include "entry.h"
+#include "entry.hpp"
 
 #include <fcntl.h>
 #include <signal.h>
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-#include "http.h"
+#include "http.hpp"
 
 namespace review {
 
@@ -87,8 +87,8 @@
 
 void Entry::Start() {
   const std::string base = options_.work_dir + "/" + options_.name;
-  std::istringstream run(DeployValue(
-      ReadFile(options_.root + "/deploy/system.toml"), "run"));
+  std::istringstream run(
+      DeployValue(ReadFile(options_.root + "/deploy/system.toml"), "run"));
   std::vector<std::string> words{std::istream_iterator<std::string>(run), {}};
   std::string boot = "QUETZALSHELF_BOOT=" + base + ".settings";
   std::vector<char*> args;
@@ -101,8 +101,8 @@
     throw std::runtime_error("cannot fork");
   if (pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int log = open((base + ".log").c_str(),
-                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+    const int log =
+        open((base + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     for (int fd = 3; fd < 1'024; ++fd)
--- a/review/harness-3/entry.h
+++ b/review/harness-3/entry.hpp
@@ -1,14 +1,14 @@
 // An entry node: the project's program as a process of its own, started with
 // the command and the settings of the deploy file.
 
-#ifndef REVIEW_HARNESS_3_ENTRY_H_
-#define REVIEW_HARNESS_3_ENTRY_H_
+#ifndef REVIEW_HARNESS_3_ENTRY_HPP_
+#define REVIEW_HARNESS_3_ENTRY_HPP_
 
 #include <sys/types.h>
 
 #include <string>
 
-#include "record.h"
+#include "record.hpp"
 
 namespace review {
 
@@ -47,4 +47,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_ENTRY_H_
+#endif  // REVIEW_HARNESS_3_ENTRY_HPP_
--- a/review/harness-3/executor.cc
+++ b/review/harness-3/executor.cpp
@@ -1,4 +1,4 @@
-#include "executor.h"
+#include "executor.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -49,8 +49,8 @@
 
 void Executor::After(Millis delay, std::function<void()> what) {
   auto timer = std::make_shared<asio::steady_timer>(io_, delay);
-  timer->async_wait([this, timer, life = life_, what = std::move(what)](
-                        const asio::error_code& ec) {
+  timer->async_wait([this, timer, life = life_,
+                     what = std::move(what)](const asio::error_code& ec) {
     if (!ec && life == life_)
       what();
   });
@@ -82,25 +82,30 @@
   After(kBeat, [this] { Beat(); });
 }
 
+void Executor::HoldNextStart(std::function<void()> held) {
+  held_ = std::move(held);
+}
+
 void Executor::BeginResets() {
-  record_.Line("executor " + id() + " resets its connections, runs=" +
-               std::to_string(runs_.size()));
+  record_.Line("executor " + id() +
+               " resets its connections, runs=" + std::to_string(runs_.size()));
   server_.SetReach(Reach::kClosed);
 }
 
 void Executor::EndResets() {
-  record_.Line("executor " + id() + " serves again, runs=" +
-               std::to_string(runs_.size()));
+  record_.Line("executor " + id() +
+               " serves again, runs=" + std::to_string(runs_.size()));
   server_.SetReach(Reach::kOpen);
 }
 
 void Executor::Crash(Millis after, const std::string& kind) {
-  record_.Line("executor " + id() + " crashes, runs=" +
-               std::to_string(runs_.size()));
+  record_.Line("executor " + id() +
+               " crashes, runs=" + std::to_string(runs_.size()));
   up_ = false;
   ++life_;
   for (const auto& [task, run] : runs_)
-    listener_({"crash", id(), zone(), options_.kind, task, run.attempt, record_.Elapsed()});
+    listener_({"crash", id(), zone(), options_.kind, task, run.attempt,
+               record_.Elapsed()});
   server_.SetReach(Reach::kClosed);
   runs_.clear();
   tombstones_.clear();
@@ -120,6 +125,11 @@
     record_.Line("executor " + id() + " has started again, kind " +
                  options_.kind);
     After(options_.first_beat, [this] { Beat(); });
+    for (const Json& it : std::exchange(late_starts_, {})) {
+      record_.Line("executor " + id() + " carries out a late start of " +
+                   it.value("task", ""));
+      Start(it, [](int, const std::string&) {});
+    }
   });
 }
 
@@ -134,6 +144,14 @@
     reply(400, "{}");
     return;
   }
+  if (held_ && request.path == "/api/run-start") {
+    record_.Line("executor " + id() + ": start of " + body.value("task", "") +
+                 " attempt " + std::to_string(body.value("attempt", 0)) +
+                 " gets no answer and is carried out later");
+    late_starts_.push_back(body);
+    std::exchange(held_, nullptr)();
+    return;
+  }
   const auto fence = body.value("fence", uint64_t{0});
   if (fence < fence_) {
     reply(409, Json{{"clock_ms", ClockMs()}, {"reason", "fence"}}.dump());
@@ -198,7 +216,8 @@
     run.saved_ms = std::stoll(saved, nullptr, 16);
   runs_[task] = run;
   ExtendLease(until);
-  listener_({"start", id(), zone(), options_.kind, task, attempt, record_.Elapsed()});
+  listener_(
+      {"start", id(), zone(), options_.kind, task, attempt, record_.Elapsed()});
   const auto still_runs = [this, task, serial = run.serial] {
     const auto it = runs_.find(task);
     return it != runs_.end() && it->second.serial == serial;
@@ -234,11 +253,15 @@
 
 void Executor::Hold(const Json& body, const Reply& reply) {
   const auto seen = body.value("last_seen", int64_t{0});
+  for (const End& it : ends_) {
+    if (it.number <= seen)
+      listener_({"noted", id(), zone(), options_.kind, it.task, it.attempt,
+                 record_.Elapsed()});
+  }
   std::erase_if(ends_, [&](const End& it) { return it.number <= seen; });
   if (body.contains("until_ms"))
     ExtendLease(body["until_ms"].get<int64_t>());
-  const auto wait =
-      std::min(body.value("wait_ms", int64_t{0}), kMaxWaitMs);
+  const auto wait = std::min(body.value("wait_ms", int64_t{0}), kMaxWaitMs);
   if (wait <= 0 || !ends_.empty()) {
     List(reply);
     return;
@@ -291,7 +314,8 @@
   int64_t& tombstone = tombstones_[task];
   tombstone = std::max(tombstone, run.attempt);
   ends_.push_back({++last_end_, task, run.attempt, how, saved});
-  listener_({how, id(), zone(), options_.kind, task, run.attempt, record_.Elapsed()});
+  listener_(
+      {how, id(), zone(), options_.kind, task, run.attempt, record_.Elapsed()});
   for (const auto& it : std::exchange(waiting_, {}))
     asio::post(io_, it);
 }
--- a/review/harness-3/executor.h
+++ b/review/harness-3/executor.hpp
@@ -6,8 +6,8 @@
 // time between two checkpoints) and `crash` (it makes its executor crash so
 // long after its start).
 
-#ifndef REVIEW_HARNESS_3_EXECUTOR_H_
-#define REVIEW_HARNESS_3_EXECUTOR_H_
+#ifndef REVIEW_HARNESS_3_EXECUTOR_HPP_
+#define REVIEW_HARNESS_3_EXECUTOR_HPP_
 
 #include <functional>
 #include <list>
@@ -17,9 +17,9 @@
 
 #include <asio.hpp>
 
-#include "http.h"
-#include "record.h"
-#include "store.h"
+#include "http.hpp"
+#include "record.hpp"
+#include "store.hpp"
 
 namespace review {
 
@@ -40,7 +40,9 @@
 class Executor {
  public:
   struct Event {
-    std::string what;  // "start", "crash", or how a run ended.
+    // "start", "crash", how a run ended, or "noted": `last_seen` has reached
+    // its end.
+    std::string what;
     std::string executor;
     std::string zone;
     std::string kind;
@@ -60,6 +62,11 @@
   const std::string& zone() const { return options_.zone; }
   size_t runs() const { return runs_.size(); }
 
+  // The next start order gets no answer and is carried out late: by the next
+  // life of the executor, as soon as that runs. `held` is called when it came.
+  void HoldNextStart(std::function<void()> held);
+  // No further order is held.
+  void HoldNoStart() { held_ = nullptr; }
   // Resets all connections and goes on running; its entry stays good.
   void BeginResets();
   void EndResets();
@@ -105,6 +112,8 @@
   ExecutorOptions options_;
   Listener listener_;
   Server server_;
+  std::function<void()> held_;
+  std::list<Json> late_starts_;
   bool up_ = true;
   // Of this life of the process.
   uint64_t life_ = 1;
@@ -123,4 +132,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_EXECUTOR_H_
+#endif  // REVIEW_HARNESS_3_EXECUTOR_HPP_
--- a/review/harness-3/fleet.cc
+++ b/review/harness-3/fleet.cpp
@@ -1,4 +1,4 @@
-#include "fleet.h"
+#include "fleet.hpp"
 
 #include <cstdio>
 #include <utility>
@@ -32,20 +32,18 @@
                         static_cast<size_t>(options_.executors);
     executors_.push_back(std::make_unique<Executor>(
         io_, store_, record_,
-        ExecutorOptions{.id = id,
-                        .service = kService,
-                        .zone = options_.zones[zone],
-                        .rack = "r1-" + std::to_string(n / kRackSize + 1),
-                        .kind = n < options_.executors -
-                                        options_.executors_of_kind_b
-                                    ? "a"
-                                    : "b",
-                        .first_beat = options_.first_beat},
+        ExecutorOptions{
+            .id = id,
+            .service = kService,
+            .zone = options_.zones[zone],
+            .rack = "r1-" + std::to_string(n / kRackSize + 1),
+            .kind = n < options_.executors - options_.executors_of_kind_b ? "a"
+                                                                          : "b",
+            .first_beat = options_.first_beat},
         [this](const Executor::Event& it) {
           record_.Line("executor " + it.executor + " in " + it.zone +
-                       " of kind " + it.kind + ": " +
-                       it.what + " " + it.task + " attempt " +
-                       std::to_string(it.attempt));
+                       " of kind " + it.kind + ": " + it.what + " " + it.task +
+                       " attempt " + std::to_string(it.attempt));
           events_.push_back(it);
         }));
   }
@@ -66,8 +64,10 @@
     bool ready = false;
     const bool in_time = RunUntil(Millis(10'000), [&] {
       if (!ready) {
-        Send(io_, {.port = it->readiness_port(), .path = "/api/readyz",
-                   .timeout = Millis(500)},
+        Send(io_,
+             {.port = it->readiness_port(),
+              .path = "/api/readyz",
+              .timeout = Millis(500)},
              [&ready](int status, const std::string&) {
                ready = ready || status == 200;
              });
@@ -116,7 +116,9 @@
           {"standby", false}}}},
        {"limits", {{"max_header_bytes", 16'384}, {"max_body_bytes", 262'144}}},
        {"tenants",
-        {{{"name", "plaza"}, {"keys", {kKey}}, {"guaranteed", {{"gpu", 16}}}}}}});
+        {{{"name", "plaza"},
+          {"keys", {kKey}},
+          {"guaranteed", {{"gpu", 16}}}}}}});
 }
 
 void Fleet::RunFor(Millis time) {
--- a/review/harness-3/fleet.h
+++ b/review/harness-3/fleet.hpp
@@ -1,8 +1,8 @@
 // A small deployment on loopback: the store, executors, entry nodes and
 // clients, and what they saw.
 
-#ifndef REVIEW_HARNESS_3_FLEET_H_
-#define REVIEW_HARNESS_3_FLEET_H_
+#ifndef REVIEW_HARNESS_3_FLEET_HPP_
+#define REVIEW_HARNESS_3_FLEET_HPP_
 
 #include <functional>
 #include <map>
@@ -13,11 +13,11 @@
 
 #include <asio.hpp>
 
-#include "entry.h"
-#include "executor.h"
-#include "http.h"
-#include "record.h"
-#include "store.h"
+#include "entry.hpp"
+#include "executor.hpp"
+#include "http.hpp"
+#include "record.hpp"
+#include "store.hpp"
 
 namespace review {
 
@@ -115,4 +115,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_FLEET_H_
+#endif  // REVIEW_HARNESS_3_FLEET_HPP_
--- a/review/harness-3/http.cc
+++ b/review/harness-3/http.cpp
@@ -1,4 +1,4 @@
-#include "http.h"
+#include "http.hpp"
 
 #include <unistd.h>
 
@@ -142,17 +142,18 @@
       lost_ = true;
       return;
     }
-    server_.handler_(request_, [self = shared_from_this(), answered = false](
-                                   int status, const std::string& body) mutable {
-      if (std::exchange(answered, true) || self->lost_)
-        return;
-      // The answer is lost as well.
-      if (self->server_.reach_ == Reach::kDark) {
-        self->lost_ = true;
-        return;
-      }
-      self->Write(status, body);
-    });
+    server_.handler_(request_,
+                     [self = shared_from_this(), answered = false](
+                         int status, const std::string& body) mutable {
+                       if (std::exchange(answered, true) || self->lost_)
+                         return;
+                       // The answer is lost as well.
+                       if (self->server_.reach_ == Reach::kDark) {
+                         self->lost_ = true;
+                         return;
+                       }
+                       self->Write(status, body);
+                     });
   }
 
   void Write(int status, const std::string& body) {
--- a/review/harness-3/http.h
+++ b/review/harness-3/http.hpp
@@ -1,7 +1,7 @@
 // A small HTTP/1.1 server and client on loopback, for stand-ins.
 
-#ifndef REVIEW_HARNESS_3_HTTP_H_
-#define REVIEW_HARNESS_3_HTTP_H_
+#ifndef REVIEW_HARNESS_3_HTTP_HPP_
+#define REVIEW_HARNESS_3_HTTP_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -80,4 +80,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_HTTP_H_
+#endif  // REVIEW_HARNESS_3_HTTP_HPP_
--- a/review/harness-3/main.cc
+++ b/review/harness-3/main.cpp
@@ -9,15 +9,14 @@
 #include <map>
 #include <string>
 
-#include "cases.h"
+#include "cases.hpp"
 
 int main(int argc, char** argv) {
   using namespace review;
   const std::map<std::string, CaseResult (*)(FleetOptions, bool)> cases = {
-      {"large-scheduled-jobs", &PlayLargeScheduledJobs},
-      {"crashing-task", &PlayCrashingTask},
-      {"evacuation", &PlayEvacuation},
-      {"changed-kind", &PlayChangedKind},
+      {"crashing-task", &PlayCrashingTask}, {"evacuation", &PlayEvacuation},
+      {"changed-kind", &PlayChangedKind},   {"late-start", &PlayLateStart},
+      {"limit-of-step", &PlayLimitOfStep},
   };
   if (argc != 5 || !cases.contains(argv[1])) {
     std::fprintf(stderr, "usage: fleet_case NAME ROOT WORK_DIR RECORD\n");
--- a/review/harness-3/record.h
+++ b/review/harness-3/record.hpp
@@ -1,7 +1,7 @@
 // The record of a case: what was sent, answered and run, with times.
 
-#ifndef REVIEW_HARNESS_3_RECORD_H_
-#define REVIEW_HARNESS_3_RECORD_H_
+#ifndef REVIEW_HARNESS_3_RECORD_HPP_
+#define REVIEW_HARNESS_3_RECORD_HPP_
 
 #include <chrono>
 #include <cstdint>
@@ -42,4 +42,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_RECORD_H_
+#endif  // REVIEW_HARNESS_3_RECORD_HPP_
--- a/review/harness-3/store.cc
+++ b/review/harness-3/store.cpp
@@ -1,4 +1,4 @@
-#include "store.h"
+#include "store.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -25,7 +25,8 @@
     uint32_t bits = 0;
     const size_t left = std::min<size_t>(3, text.size() - n);
     for (size_t i = 0; i < 3; ++i)
-      bits = bits << 8 | (i < left ? static_cast<unsigned char>(text[n + i]) : 0);
+      bits =
+          bits << 8 | (i < left ? static_cast<unsigned char>(text[n + i]) : 0);
     for (size_t i = 0; i < 4; ++i)
       out += i <= left ? kDigits[bits >> (18 - 6 * i) & 63] : '=';
   }
@@ -61,10 +62,10 @@
 }
 
 Json Store::Answer() const {
-  return {{"ver", version_},
-          {"now_ms", std::chrono::duration_cast<Millis>(
-                         Now().time_since_epoch())
-                         .count()}};
+  return {
+      {"ver", version_},
+      {"now_ms",
+       std::chrono::duration_cast<Millis>(Now().time_since_epoch()).count()}};
 }
 
 void Store::Handle(const std::string& node,
@@ -204,14 +205,17 @@
 
 Json Store::Changes(const std::string& table, uint64_t after) const {
   Json rows = Json::array();
-  const auto first = std::ranges::upper_bound(history_, after, {},
-                                              &Change::version);
+  const auto first =
+      std::ranges::upper_bound(history_, after, {}, &Change::version);
   for (auto it = first; it != history_.end(); ++it) {
     const auto& [row_table, part, key] = it->key;
     if (row_table != table)
       continue;
-    Json row = {{"table", table}, {"part", part}, {"key", key},
-                {"value", it->value}, {"ver", it->version}};
+    Json row = {{"table", table},
+                {"part", part},
+                {"key", key},
+                {"value", it->value},
+                {"ver", it->version}};
     if (it->deleted)
       row["deleted"] = true;
     rows.push_back(std::move(row));
@@ -224,16 +228,15 @@
   *waiter = {request.Query("table"), Number(request.Query("depends_on")),
              reply};
   waiters_.push_back(waiter);
-  After(Millis(Number(request.Query("wait_ms"))) + kReadTime,
-        [this, waiter] {
-          const auto it = std::ranges::find(waiters_, waiter);
-          if (it == waiters_.end())
-            return;
-          waiters_.erase(it);
-          Json answer = Answer();
-          answer["rows"] = Changes(waiter->table, waiter->after);
-          waiter->reply(200, answer.dump());
-        });
+  After(Millis(Number(request.Query("wait_ms"))) + kReadTime, [this, waiter] {
+    const auto it = std::ranges::find(waiters_, waiter);
+    if (it == waiters_.end())
+      return;
+    waiters_.erase(it);
+    Json answer = Answer();
+    answer["rows"] = Changes(waiter->table, waiter->after);
+    waiter->reply(200, answer.dump());
+  });
   After(kReadTime, [this] { Wake(); });
 }
 
--- a/review/harness-3/store.h
+++ b/review/harness-3/store.hpp
@@ -1,8 +1,8 @@
 // The platform's metadata store: rows in tables, conditional transactions,
 // reads and feeds, as PROTOCOL.md has them.
 
-#ifndef REVIEW_HARNESS_3_STORE_H_
-#define REVIEW_HARNESS_3_STORE_H_
+#ifndef REVIEW_HARNESS_3_STORE_HPP_
+#define REVIEW_HARNESS_3_STORE_HPP_
 
 #include <functional>
 #include <list>
@@ -15,8 +15,8 @@
 #include <asio.hpp>
 #include <nlohmann/json.hpp>
 
-#include "http.h"
-#include "record.h"
+#include "http.hpp"
+#include "record.hpp"
 
 namespace review {
 
@@ -57,8 +57,12 @@
     Reply reply;
   };
 
-  void Handle(const std::string& node, const Request& request, const Reply& reply);
-  void Commit(const std::string& node, const Request& request, const Reply& reply);
+  void Handle(const std::string& node,
+              const Request& request,
+              const Reply& reply);
+  void Commit(const std::string& node,
+              const Request& request,
+              const Reply& reply);
   void Read(const Request& request, const Reply& reply);
   void Feed(const Request& request, const Reply& reply);
   void Apply(const Key& key, const std::string& value, bool deleted);
@@ -80,4 +84,4 @@
 
 }  // namespace review
 
-#endif  // REVIEW_HARNESS_3_STORE_H_
+#endif  // REVIEW_HARNESS_3_STORE_HPP_
