--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case "long-hold" on loopback; see claim.txt. Exits with 1 if the
+# rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0
+# leaves the disruption out.
+here=$(cd "$(dirname "$0")" && pwd)
+exec "$here/../harness-3/play" long-hold "$here/record.txt"
--- a/review/harness-3/case_crashing_task.cpp
+++ b/review/harness-3/case_crashing_task.cpp
@@ -13,6 +13,8 @@
 constexpr int kFreeCrashes = 3;
 constexpr int kAllowedStarts = 2;
 constexpr Millis kLength{60'000};
+// After so long without a start or a crash the task is given up.
+constexpr Millis kQuiet{15'000};
 
 }  // namespace
 
@@ -39,8 +41,12 @@
     fleet.RunFor(Millis(3'500));
     leader.Start();
   }
-  fleet.RunUntil(
-      kLength, [&] { return count("crash") > kFreeCrashes + kAllowedStarts; });
+  fleet.RunUntil(kLength, [&] {
+    const int64_t quiet =
+        fleet.record().Elapsed() - fleet.events().back().at_ms;
+    return count("crash") > kFreeCrashes + kAllowedStarts ||
+           quiet > kQuiet.count();
+  });
   fleet.Ask(kJob);
   fleet.RunFor(Millis(2'000));
   int crashes = 0;
--- a/review/harness-3/case_evacuation.cpp
+++ b/review/harness-3/case_evacuation.cpp
@@ -28,7 +28,7 @@
         continue;
       ++grey;
       it->BeginResets();
-      fleet.At(kResets, [&executor = *it] { executor.EndResets(); });
+      fleet.At(kResets, [&executor = *it] { executor.ServeAgain(); });
     }
   }
   for (int n = 0; n < kGreyExecutors; ++n) {
--- a/review/harness-3/case_late_start.cpp
+++ b/review/harness-3/case_late_start.cpp
@@ -2,10 +2,6 @@
 // executor that has crashed meanwhile.
 
 #include <cstdio>
-#include <map>
-#include <set>
-#include <string>
-#include <vector>
 
 #include "cases.hpp"
 
@@ -18,43 +14,14 @@
 constexpr int kOtherJobs = 12;
 constexpr Millis kCrashAfter{3'000};
 constexpr Millis kDown{3'000};
-
-// Starts of a task that runs, or that has ended `done` with an end that was
-// taken note of.
-int CountSecondRuns(Record& record,
-                    const std::vector<Executor::Event>& events) {
-  std::map<std::string, std::set<std::string>> at_work;
-  std::set<std::string> done;
-  std::set<std::string> noted;
-  int second = 0;
-  for (const Executor::Event& it : events) {
-    if (it.what == "noted") {
-      if (done.contains(it.task))
-        noted.insert(it.task);
-      continue;
-    }
-    if (it.what != "start") {
-      at_work[it.task].erase(it.executor);
-      if (it.what == "done")
-        done.insert(it.task);
-      continue;
-    }
-    if (noted.contains(it.task) || !at_work[it.task].empty()) {
-      ++second;
-      record.Line("check: task " + it.task + " is started on " + it.executor +
-                  " at " + std::to_string(it.at_ms) +
-                  (noted.contains(it.task) ? ", though it has ended done"
-                                           : ", while it runs elsewhere"));
-    }
-    at_work[it.task].insert(it.executor);
-  }
-  return second;
-}
+// "About every `heartbeat_ms`", which is 1,500.
+constexpr Millis kFirstBeat{1'000};
 
 }  // namespace
 
 CaseResult PlayLateStart(FleetOptions options, bool trouble) {
   options.executors_of_kind_b = 2;
+  options.first_beat = kFirstBeat;
   Fleet fleet(options);
   fleet.Start();
   Executor* holder = nullptr;
@@ -91,7 +58,7 @@
   fleet.RunFor(Millis(20'000));
   if (trouble && !holder)
     throw CannotRun("no start order was held");
-  const int second = CountSecondRuns(fleet.record(), fleet.events());
+  const int second = fleet.CountSecondRuns();
   return {.broken = second > 0,
           .what = std::to_string(second) +
                   " starts of a task that was running or had ended done"};
--- a/review/harness-3/cases.hpp
+++ b/review/harness-3/cases.hpp
@@ -19,6 +19,7 @@
 CaseResult PlayEvacuation(FleetOptions options, bool trouble);
 CaseResult PlayChangedKind(FleetOptions options, bool trouble);
 CaseResult PlayLateStart(FleetOptions options, bool trouble);
+CaseResult PlayLongHold(FleetOptions options, bool trouble);
 CaseResult PlayLimitOfStep(FleetOptions options, bool trouble);
 
 }  // namespace review
--- a/review/harness-3/executor.cpp
+++ b/review/harness-3/executor.cpp
@@ -9,11 +9,12 @@
 
 namespace {
 
-// `heartbeat_ms`, `hold_max_ms` and `stop_timeout_ms` of the small deployments.
+// `heartbeat_ms` and `stop_timeout_ms` of the small deployments.
 constexpr Millis kBeat{1'500};
-constexpr int64_t kHoldMaxMs = 6'000;
 constexpr Millis kStopTime{300};
 constexpr int64_t kMaxWaitMs = 2'000;
+// After the start of the next life.
+constexpr Millis kLateStart{500};
 constexpr size_t kMaxListedEnds = 500;
 
 int64_t WordOf(const std::string& spec, const std::string& name) {
@@ -92,7 +93,13 @@
   server_.SetReach(Reach::kClosed);
 }
 
-void Executor::EndResets() {
+void Executor::GoMute() {
+  record_.Line("executor " + id() + " answers no call any more, runs=" +
+               std::to_string(runs_.size()));
+  server_.SetReach(Reach::kDark);
+}
+
+void Executor::ServeAgain() {
   record_.Line("executor " + id() +
                " serves again, runs=" + std::to_string(runs_.size()));
   server_.SetReach(Reach::kOpen);
@@ -125,14 +132,22 @@
     record_.Line("executor " + id() + " has started again, kind " +
                  options_.kind);
     After(options_.first_beat, [this] { Beat(); });
-    for (const Json& it : std::exchange(late_starts_, {})) {
-      record_.Line("executor " + id() + " carries out a late start of " +
-                   it.value("task", ""));
-      Start(it, [](int, const std::string&) {});
-    }
+    After(kLateStart, [this] { CarryOutLateStarts(); });
   });
 }
 
+void Executor::CarryOutLateStarts() {
+  for (const Json& it : std::exchange(late_starts_, {})) {
+    record_.Line("executor " + id() + " carries out a late start of " +
+                 it.value("task", "") +
+                 (it.value("fence", uint64_t{0}) < fence_
+                      ? ": refused by its fence"
+                      : ""));
+    if (it.value("fence", uint64_t{0}) >= fence_)
+      Start(it, [](int, const std::string&) {});
+  }
+}
+
 void Executor::Handle(const Request& request, const Reply& reply) {
   const std::string expected = request.Header("X-Expect-Instance");
   if (!expected.empty() && expected != id()) {
@@ -321,7 +336,7 @@
 }
 
 void Executor::ExtendLease(int64_t until_ms) {
-  const int64_t until = std::min(until_ms, ClockMs() + kHoldMaxMs);
+  const int64_t until = std::min(until_ms, ClockMs() + options_.hold_max_ms);
   if (until <= lease_until_ms_)
     return;
   lease_until_ms_ = until;
--- a/review/harness-3/executor.hpp
+++ b/review/harness-3/executor.hpp
@@ -35,6 +35,7 @@
   int cpu = 64'000;
   int mem_mb = 131'072;
   int gpu = 8;
+  int64_t hold_max_ms = 6'000;
 };
 
 class Executor {
@@ -60,16 +61,19 @@
 
   const std::string& id() const { return options_.id; }
   const std::string& zone() const { return options_.zone; }
+  const std::string& kind() const { return options_.kind; }
   size_t runs() const { return runs_.size(); }
 
-  // The next start order gets no answer and is carried out late: by the next
-  // life of the executor, as soon as that runs. `held` is called when it came.
+  // The next start order gets no answer and is carried out late, by the next
+  // life of the executor. `held` is called when it came.
   void HoldNextStart(std::function<void()> held);
   // No further order is held.
   void HoldNoStart() { held_ = nullptr; }
   // Resets all connections and goes on running; its entry stays good.
   void BeginResets();
-  void EndResets();
+  // Loses all calls without an answer and goes on running.
+  void GoMute();
+  void ServeAgain();
   // Ends its process; it starts again under the same id `after` that, of
   // another kind where one is given.
   void Crash(Millis after, const std::string& kind = "");
@@ -94,6 +98,7 @@
   };
 
   void Handle(const Request& request, const Reply& reply);
+  void CarryOutLateStarts();
   void Start(const Json& body, const Reply& reply);
   void Stop(const Json& body, const Reply& reply);
   void Hold(const Json& body, const Reply& reply);
--- a/review/harness-3/fleet.cpp
+++ b/review/harness-3/fleet.cpp
@@ -1,6 +1,7 @@
 #include "fleet.hpp"
 
 #include <cstdio>
+#include <set>
 #include <utility>
 
 namespace review {
@@ -39,7 +40,8 @@
             .rack = "r1-" + std::to_string(n / kRackSize + 1),
             .kind = n < options_.executors - options_.executors_of_kind_b ? "a"
                                                                           : "b",
-            .first_beat = options_.first_beat},
+            .first_beat = options_.first_beat,
+            .hold_max_ms = options_.hold_max_ms},
         [this](const Executor::Event& it) {
           record_.Line("executor " + it.executor + " in " + it.zone +
                        " of kind " + it.kind + ": " + it.what + " " + it.task +
@@ -222,6 +224,35 @@
        });
 }
 
+int Fleet::CountSecondRuns() {
+  std::map<std::string, std::set<std::string>> at_work;
+  std::set<std::string> done;
+  std::set<std::string> noted;
+  int second = 0;
+  for (const Executor::Event& it : events_) {
+    if (it.what == "noted") {
+      if (done.contains(it.task))
+        noted.insert(it.task);
+      continue;
+    }
+    if (it.what != "start") {
+      at_work[it.task].erase(it.executor);
+      if (it.what == "done")
+        done.insert(it.task);
+      continue;
+    }
+    if (noted.contains(it.task) || !at_work[it.task].empty()) {
+      ++second;
+      record_.Line("check: task " + it.task + " is started on " + it.executor +
+                   " at " + std::to_string(it.at_ms) +
+                   (noted.contains(it.task) ? ", though it has ended done"
+                                            : ", while it runs elsewhere"));
+    }
+    at_work[it.task].insert(it.executor);
+  }
+  return second;
+}
+
 Entry* Fleet::Node(const std::string& name) {
   for (const auto& it : nodes_) {
     if (it->name() == name)
--- a/review/harness-3/fleet.hpp
+++ b/review/harness-3/fleet.hpp
@@ -31,6 +31,7 @@
   // The last ones are of kind "b".
   int executors_of_kind_b = 0;
   Millis first_beat{100};
+  int64_t hold_max_ms = 6'000;
 };
 
 // A job as its client knows it.
@@ -89,6 +90,10 @@
   void Ask(const std::string& id);
   void Cancel(const std::string& id);
 
+  // Starts of a task that was running, or that had ended `done` with an end
+  // that was taken note of.
+  int CountSecondRuns();
+
   Entry* Node(const std::string& name);
   // The node that last wrote to the store under a condition.
   Entry& Leader();
--- a/review/harness-3/main.cpp
+++ b/review/harness-3/main.cpp
@@ -16,7 +16,7 @@
   const std::map<std::string, CaseResult (*)(FleetOptions, bool)> cases = {
       {"crashing-task", &PlayCrashingTask}, {"evacuation", &PlayEvacuation},
       {"changed-kind", &PlayChangedKind},   {"late-start", &PlayLateStart},
-      {"limit-of-step", &PlayLimitOfStep},
+      {"long-hold", &PlayLongHold},         {"limit-of-step", &PlayLimitOfStep},
   };
   if (argc != 5 || !cases.contains(argv[1])) {
     std::fprintf(stderr, "usage: fleet_case NAME ROOT WORK_DIR RECORD\n");
