--- a/review/harness-3/executor.hpp
+++ b/review/11/harness/executor.hpp
@@ -50,6 +50,11 @@
     std::string task;
     int64_t attempt = 0;
     int64_t at_ms = 0;  // As in the record.
+    // For a start: the node that had last written to the store under a
+    // condition, which is the leader while no client hands work in, and
+    // whether it was in touch.
+    std::string leader = "";
+    bool in_touch = false;
   };
   using Listener = std::function<void(const Event&)>;
 
--- a/review/harness-3/fleet.cpp
+++ b/review/11/harness/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.hpp"
 
+#include <csignal>
 #include <cstdio>
 #include <set>
 #include <utility>
@@ -13,6 +14,8 @@
 constexpr char kKey[] = "k-3f9a";
 constexpr int kRackSize = 6;
 constexpr int kMaxTries = 40;
+// `contact_ms` of the small deployments.
+constexpr int64_t kContactMs = 3'000;
 
 }  // namespace
 
@@ -42,10 +45,18 @@
                                                                           : "b",
             .first_beat = options_.first_beat,
             .hold_max_ms = options_.hold_max_ms},
-        [this](const Executor::Event& it) {
+        [this](const Executor::Event& event) {
+          Executor::Event it = event;
+          std::string sender;
+          if (it.what == "start") {
+            it.leader = store_.last_writer();
+            it.in_touch = IsInTouch(it.leader);
+            sender = ", last conditional write by " + it.leader +
+                     (it.in_touch ? "" : ", not in touch");
+          }
           record_.Line("executor " + it.executor + " in " + it.zone +
                        " of kind " + it.kind + ": " + it.what + " " + it.task +
-                       " attempt " + std::to_string(it.attempt));
+                       " attempt " + std::to_string(it.attempt) + sender);
           events_.push_back(it);
         }));
   }
@@ -254,6 +265,22 @@
   return second;
 }
 
+bool Fleet::IsInTouch(const std::string& node) const {
+  const auto it = disturbed_.find(node);
+  return it == disturbed_.end() || record_.Elapsed() >= it->second + kContactMs;
+}
+
+void Fleet::Kill(Entry& node) {
+  node.Signal(SIGKILL);
+  node.Reap();
+  disturbed_[node.name()] = record_.Elapsed();
+}
+
+void Fleet::Restart(Entry& node) {
+  node.Start();
+  disturbed_[node.name()] = record_.Elapsed();
+}
+
 Entry* Fleet::Node(const std::string& name) {
   for (const auto& it : nodes_) {
     if (it->name() == name)
--- a/review/harness-3/fleet.hpp
+++ b/review/11/harness/fleet.hpp
@@ -94,12 +94,19 @@
   // that was taken note of.
   int CountSecondRuns();
 
+  // Kills a node's process with SIGKILL.
+  void Kill(Entry& node);
+  void Restart(Entry& node);
+
   Entry* Node(const std::string& name);
   // The node that last wrote to the store under a condition.
   Entry& Leader();
   void EvacuateZone(const std::string& zone);
 
  private:
+  // Not killed or started in the last `contact_ms`. Nothing else disturbs nodes
+  // or the store.
+  bool IsInTouch(const std::string& node) const;
   void PutConfig();
   void TrySubmit(const std::string& id, size_t node, int tries);
   void TryAsk(const std::string& id, size_t node, int tries);
@@ -112,6 +119,8 @@
   std::vector<std::unique_ptr<Executor>> executors_;
   std::vector<std::unique_ptr<Entry>> nodes_;
   std::vector<Executor::Event> events_;
+  // When each node was last killed or started, in the time of the record.
+  std::map<std::string, int64_t> disturbed_;
   std::map<std::string, Job> jobs_;
   std::string bulk_prefix_ = "/pule252/";
   std::string urgent_prefix_ = "/pufi791/";
--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # rule was broken, 0 if it held, and 2 if the case could not run. TROUBLE=0
 # leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../harness-3/play" long-hold "$here/record.txt"
+exec "$here/harness/play" long-hold "$here/record.txt"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 rm -rf "$out"
 mkdir -p "$out"
 pids=()
-for source in "$root"/review/harness-3/*.cpp; do
+for source in "$root"/review/11/harness/*.cpp; do
   g++ -std=c++20 -O2 -Wall -Wextra -c "$source" \
     -o "$out/$(basename "$source" .cpp).o" &
   pids+=("$!")
