Log and count steps that stand still beside idle workers

Why a step of priority 1 or more waits was logged only where a limit of its workspace is at work, so neither the users' record nor our logs could tell the hypotheses apart.

A pass now knows what runs use of a service apart from what is reserved, and a step that waits for over a second while runs use less than half of it, with room for the step twice over, gets a line with its reason, its reservation and the idle capacity, at most 8 a pass, and counts in quetzalshelf_standing_steps_total by reason. Steps that are not placed in a pass at all are told of as well. No decision changes.

--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -265,6 +265,7 @@
   run.phase_since = now;
   run.confirmed_event = ++last_event_;
   run.started_at = run.saved_at = now;
+  job.FindStep(id)->standing_since = TimePoint();
   if (job.Find(id)->checkpoint.empty())
     run.progress.Begin(now);
   else
--- a/servers/batch/dispatcher_pass.cc
+++ b/servers/batch/dispatcher_pass.cc
@@ -54,6 +54,12 @@
   strays_end_ = std::min(strays_end_, outcome.strays_end);
   reclaims_.Add(outcome.reclaims);
   cap_reclaims_.Add(outcome.cap_reclaims);
+  for (const auto& [reason, steps] : outcome.standing) {
+    metrics_
+        .GetCounter("quetzalshelf_standing_steps_total{reason=\"" + reason +
+                    "\"}")
+        .Add(steps);
+  }
 }
 
 void Dispatcher::RunPass(TimePoint now) {
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -203,6 +203,13 @@
       step.tasks, [](const TaskProgress& it) { return it.run.has_value(); });
 }
 
+bool Job::HasStartedRuns(const StepProgress& step) {
+  return std::ranges::any_of(step.tasks, [](const TaskProgress& it) {
+    return it.run && it.run->phase != RunPhase::kRecording &&
+           it.run->phase != RunPhase::kStarting;
+  });
+}
+
 bool Job::DependenciesDone(const OccurrenceProgress& occurrence,
                            int step) const {
   return std::ranges::all_of(spec(step).depends_on, [&](int earlier) {
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -130,6 +130,9 @@
   TimePoint avoiding_since;    // It waits although avoided workers have room.
   TimePoint crashed_at;        // A worker crashed under one of its tasks.
   TimePoint next_wait_log;     // Earliest time of the next line on its wait.
+  // Since when it has stood still beside idle workers; unset while it does not.
+  TimePoint standing_since;
+  TimePoint next_stand_log;  // Earliest time of the next line on this.
 };
 
 struct OccurrenceProgress {
@@ -175,6 +178,8 @@
   TimePoint WorkStartTime(const TaskId& task) const;
   static bool IsDone(const StepProgress& step);
   static bool HasRuns(const StepProgress& step);
+  // Whether it has a run whose start is more than an order without an answer.
+  static bool HasStartedRuns(const StepProgress& step);
 
   // Applies the end of a run. False when it changes nothing, as for an end
   // that was applied before. A task that is done stays done.
--- a/servers/batch/placement.cc
+++ b/servers/batch/placement.cc
@@ -263,6 +263,18 @@
   return HasRoomForAll(candidates, twice);
 }
 
+int CountIdleFits(const std::vector<Candidate>& candidates,
+                  const Demand& demand,
+                  int limit) {
+  int total = 0;
+  for (const Candidate& it : candidates) {
+    if (total >= limit)
+      break;
+    total += CountFits(*it.worker, it.free + it.reserved, demand);
+  }
+  return std::min(total, limit);
+}
+
 bool HasRoom(const std::vector<Candidate>& candidates, const Demand& demand) {
   Demand needed = demand;
   if (!needed.all_or_none)
--- a/servers/batch/placement.h
+++ b/servers/batch/placement.h
@@ -25,6 +25,8 @@
   // Time that a task takes there, relative to a sound worker.
   double slowness = 1;
   bool has_unproven_run = false;  // Started too recently to rule out a crash.
+  // Kept for waiting tasks, and not part of `free`.
+  Resources reserved;
 
   // Takes no further tasks; reservations there stay.
   void Close() {
@@ -87,6 +89,12 @@
 bool HasAmpleRoom(const std::vector<Candidate>& candidates,
                   const Demand& demand);
 
+// How many tasks of `demand` the candidates could take if nothing were reserved
+// there, at most `limit`.
+int CountIdleFits(const std::vector<Candidate>& candidates,
+                  const Demand& demand,
+                  int limit);
+
 // Whether there is room for all tasks of a gang, or for one of other tasks.
 bool HasRoom(const std::vector<Candidate>& candidates, const Demand& demand);
 // The same if all workers were idle.
--- a/servers/batch/planning/reservations.cc
+++ b/servers/batch/planning/reservations.cc
@@ -74,8 +74,10 @@
   const auto tasks = static_cast<int>(step.reserved.size());
   caps_.Release(workspace, unit.spec->resources * tasks);
   step.reserved.clear();
-  for (const size_t n : placement)
+  for (const size_t n : placement) {
     candidates[n].free += each;
+    candidates[n].reserved -= each;
+  }
   // The cap may have been lowered since.
   const bool allowed =
       caps_.CountFits(workspace, unit.spec->resources) >= tasks;
@@ -106,6 +108,7 @@
       continue;
     // The reservation itself counts as used.
     it->free += one.each;
+    it->reserved -= one.each;
     usable.push_back(static_cast<size_t>(it - candidates.begin()));
   }
   for (const size_t n : usable) {
@@ -125,6 +128,7 @@
     } else if (now_ <= step.reserved_until) {
       step.reserved.push_back(candidate.worker->id);
       candidate.free -= one.each;
+      candidate.reserved += one.each;
       caps_.Charge(workspace, task_size);
     } else {
       LOG(INFO) << "reservation of step " << ToString(unit.id)
@@ -252,6 +256,7 @@
   for (const size_t n : plan->placement) {
     step.reserved.push_back(candidates[n].worker->id);
     candidates[n].free -= demand.each;
+    candidates[n].reserved += demand.each;
     caps_.Charge(unit.job->record().workspace, unit.spec->resources);
   }
   if (!may_stop)
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -37,6 +37,10 @@
 constexpr Duration kWaitLogInterval{1'000};
 // The same for other steps, which are logged only when a cap holds them back.
 constexpr Duration kPatientLogInterval{10'000};
+// A step that stands still beside idle workers for so long is logged.
+constexpr Duration kStandLogDelay{1'000};
+// Lines of one pass on such steps. Further ones are only counted.
+constexpr int kMaxStandLines = 8;
 // Occurrences start this long after they are due, since the clocks of VMs
 // differ slightly.
 constexpr int64_t kDueMarginMs = 30;
@@ -86,6 +90,8 @@
   std::ranges::sort(units, {}, &PlacementUnit::Rank);
   ReportWorkspaces(units);
   StartUnits(units);
+  for (const BlockedUnit& it : blocked_)
+    ObserveWait(it.unit, it.why);
   return outcome_;
 }
 
@@ -129,8 +135,10 @@
 
 bool SchedulingPass::TryUnit(PlacementUnit& unit) {
   const char* const why = StartUnit(unit);
-  if (why)
+  if (why) {
     LogWait(unit, why);
+    ObserveWait(unit, why);
+  }
   return !why;
 }
 
@@ -143,7 +151,7 @@
 
 void SchedulingPass::ComputeUsage() {
   for (auto& [id, worker] : inputs_.registry.workers()) {
-    worker.used = Resources();
+    worker.used = worker.reserved = Resources();
     worker.has_unproven_run = worker.has_suspect_run = false;
     if (worker.HoldsStrays(now_)) {
       for (const TaskId& it : worker.strays)
@@ -193,7 +201,7 @@
         for (const WorkerId& reserved : step.reserved) {
           caps_.Charge(job.record().workspace, spec.resources);
           if (Worker* const worker = inputs_.registry.Find(reserved))
-            worker->used += each;
+            worker->reserved += each;
         }
       }
     }
@@ -255,24 +263,32 @@
           continue;
         if (step.ready_since == TimePoint())
           step.ready_since = now_;
+        PlacementUnit unit{&job, id, &step, &job.spec(id.step)};
         if (now_ < step.retry_at) {
           outcome_.repeat = true;
+          blocked_.push_back({unit, "a run failed or was refused just now"});
           continue;
         }
-        PlacementUnit unit{&job, id, &step, &job.spec(id.step)};
         unit.guaranteed = guaranteed_.contains(job_id);
         unit.objective = objective;
         std::vector<int> suspects;
+        const char* blocked = nullptr;
         for (size_t n = 0; n < step.tasks.size(); ++n) {
           const TaskProgress& task = step.tasks[n];
           const TaskId task_id{job_id, id.occurrence, id.step,
                                static_cast<int>(n)};
-          if (task.done || task.run || strays_.contains(task_id))
+          if (task.done || task.run)
+            continue;
+          if (strays_.contains(task_id)) {
+            blocked = "a worker may hold a run of it";
             continue;
+          }
           unit.suspect = unit.suspect || task.is_suspect();
           // A gang without this task is not whole and waits as well.
-          if (Job::AwaitsUnclearLosses(task))
+          if (Job::AwaitsUnclearLosses(task)) {
+            blocked = "it may have crashed workers that are out of reach";
             continue;
+          }
           if (task.is_suspect() && !unit.spec->gang)
             suspects.push_back(static_cast<int>(n));
           else
@@ -285,8 +301,11 @@
           unit.suspect = false;
         // A gang waits until no run of its last attempt is left.
         const bool whole = unit.waiting.size() == step.tasks.size();
-        if (unit.waiting.empty() || (unit.spec->gang && !whole))
+        if (unit.waiting.empty() || (unit.spec->gang && !whole)) {
+          if (blocked)
+            blocked_.push_back({unit, blocked});
           continue;
+        }
         const int waves =
             unit.spec->gang ? 1
                             : CountWaves(static_cast<int>(unit.waiting.size()),
@@ -300,24 +319,71 @@
   return units;
 }
 
-std::vector<Candidate>& SchedulingPass::CandidatesOf(
+SchedulingPass::ServicePool& SchedulingPass::PoolOf(
     const ServiceName& service) {
-  const auto [it, added] = candidates_.try_emplace(service);
-  std::vector<Candidate>& candidates = it->second;
+  const auto [it, added] = pools_.try_emplace(service);
+  ServicePool& pool = it->second;
   if (!added)
-    return candidates;
+    return pool;
   for (auto& [id, worker] : inputs_.registry.workers()) {
-    if (worker.entry.service != service || !worker.IsUsable(now_) ||
+    if (worker.entry.service != service || !worker.IsAvailable(now_) ||
         inputs_.site.IsEvacuated(worker.entry.domain))
       continue;
-    candidates.push_back({&worker.entry, worker.entry.capacity - worker.used,
-                          worker.health.Penalty(now_),
-                          inputs_.speeds.Slowness(id, now_),
-                          worker.has_unproven_run});
+    const Resources idle = worker.entry.capacity - worker.used;
+    pool.capacity += WeighCores(worker.entry.capacity);
+    pool.idle += WeighCores(idle);
+    std::vector<Candidate>& group =
+        worker.health.IsOnProbation(now_) ? pool.set_aside : pool.candidates;
+    group.push_back({&worker.entry, idle - worker.reserved,
+                     worker.health.Penalty(now_),
+                     inputs_.speeds.Slowness(id, now_), worker.has_unproven_run,
+                     worker.reserved});
     if (worker.has_suspect_run)
-      candidates.back().Close();
+      group.back().Close();
+  }
+  return pool;
+}
+
+bool SchedulingPass::StandsBesideRoom(const PlacementUnit& unit) {
+  if (Job::HasStartedRuns(*unit.step))
+    return false;
+  const ServicePool& pool = PoolOf(unit.job->record().service);
+  if (pool.idle * 2 <= pool.capacity)
+    return false;
+  const int twice = 2 * (unit.spec->gang ? unit.spec->tasks : 1);
+  const Demand demand = MakeDemand(*unit.spec, twice);
+  const int fits = CountIdleFits(pool.candidates, demand, twice);
+  return fits + CountIdleFits(pool.set_aside, demand, twice - fits) >= twice;
+}
+
+void SchedulingPass::ObserveWait(const PlacementUnit& unit, const char* why) {
+  StepProgress& step = *unit.step;
+  if (!StandsBesideRoom(unit)) {
+    step.standing_since = TimePoint();
+    return;
   }
-  return candidates;
+  if (step.standing_since == TimePoint())
+    step.standing_since = now_;
+  const Duration stood = now_ - step.standing_since;
+  if (stood < kStandLogDelay || now_ < step.next_stand_log)
+    return;
+  step.next_stand_log = now_ + kStandLogDelay;
+  ++outcome_.standing[why];
+  if (++stand_lines_ > kMaxStandLines)
+    return;
+  const ServicePool& pool = PoolOf(unit.job->record().service);
+  LOG(WARNING) << "step " << ToString(unit.id)
+               << " stands still beside idle workers: for_ms=" << stood.count()
+               << " tasks=" << unit.spec->tasks
+               << " accelerators=" << unit.spec->resources.accelerators.value()
+               << " gang=" << unit.spec->gang
+               << " rack_local=" << unit.spec->rack_local
+               << " priority=" << unit.job->record().priority
+               << " late=" << unit.late << " reserved=" << step.reserved.size()
+               << " workers=" << pool.candidates.size()
+               << " set_aside=" << pool.set_aside.size()
+               << " idle_cores=" << pool.idle << " of=" << pool.capacity << ": "
+               << why;
 }
 
 bool SchedulingPass::CanDefer(const PlacementUnit& unit) const {
@@ -514,6 +580,7 @@
                    .phase_since = now_,
                    .revision = job.revision + 1};
     candidate.free -= each;
+    PoolOf(job.record().service).idle -= WeighCores(each);
     caps_.Charge(job.record().workspace, unit.spec->resources);
     candidate.has_unproven_run = true;
   }
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -69,6 +70,9 @@
   int reclaims = 0;  // Steps for which runs are stopped.
   // Steps for which other runs of their workspace are stopped.
   int cap_reclaims = 0;
+  // Steps that stand still beside idle workers, by the reason for which they
+  // wait. Each counts once a second.
+  std::map<std::string, int> standing;
   // Of workspaces with a cap or a weight; empty if none has one.
   std::map<WorkspaceId, WorkspaceUse> workspaces;
 };
@@ -102,6 +106,20 @@
                         id);
     }
   };
+  // A step that is not placed in this pass, whatever room there is.
+  struct BlockedUnit {
+    PlacementUnit unit;
+    const char* why;
+  };
+  // The workers of one service that could start tasks. What is free on them
+  // shrinks as units are placed.
+  struct ServicePool {
+    std::vector<Candidate> candidates;  // May be given tasks.
+    std::vector<Candidate> set_aside;   // On probation.
+    // In cores, as weighed by WeighCores(). Reservations count as idle.
+    double capacity = 0;
+    double idle = 0;
+  };
   // What makes units equally urgent.
   using Urgency = std::pair<int, bool>;
   static Urgency UrgencyOf(const PlacementUnit& unit) {
@@ -140,7 +158,15 @@
   bool TryUnit(PlacementUnit& unit);
   std::set<JobId> GuaranteedJobs() const;
   std::vector<PlacementUnit> CollectUnits();
-  std::vector<Candidate>& CandidatesOf(const ServiceName& service);
+  ServicePool& PoolOf(const ServiceName& service);
+  std::vector<Candidate>& CandidatesOf(const ServiceName& service) {
+    return PoolOf(service).candidates;
+  }
+  // Whether runs use less than half of the service and leave room for the step
+  // twice over: for a whole gang, or for one task of others.
+  bool StandsBesideRoom(const PlacementUnit& unit);
+  // Logs and counts a step that has stood still beside idle workers for long.
+  void ObserveWait(const PlacementUnit& unit, const char* why);
   // Whether a step has waited for long although there is ample room.
   bool HasOutwaitedRoom(const PlacementUnit& unit,
                         const std::vector<Candidate>& candidates,
@@ -218,8 +244,9 @@
   // less than its share. Postponed work reserves no workers there.
   std::set<std::pair<Urgency, ServiceName>> owed_;
   std::set<JobId> guaranteed_;
-  // The free resources of the candidates shrink as units are placed.
-  std::map<ServiceName, std::vector<Candidate>> candidates_;
+  std::map<ServiceName, ServicePool> pools_;
+  std::vector<BlockedUnit> blocked_;
+  int stand_lines_ = 0;  // Logged in this pass.
   // Racks kept free of deferrable work; chosen when such work is first placed.
   std::map<ServiceName, std::set<RackId>> headroom_;
   // Collected when the first unit of a service tries to reclaim.
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -193,10 +193,9 @@
   synced = false;
 }
 
-bool Worker::IsUsable(TimePoint now) const {
+bool Worker::IsAvailable(TimePoint now) const {
   return listed && synced && settled && has_clock && !entry.draining &&
-         now >= full_until && !health.IsOnProbation(now) &&
-         sync_failures < kUnreachableSyncs;
+         now >= full_until && sync_failures < kUnreachableSyncs;
 }
 
 Worker& WorkerRegistry::Update(const WorkerEntry& entry, TimePoint now) {
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -106,7 +106,9 @@
   // Starts that had no answer, and when they were last sent. A later process of
   // the worker may carry them out.
   std::map<TaskId, TimePoint> open_starts;
-  Resources used;  // By all runs and reservations; recounted for a pass.
+  // Recounted for a pass: what runs use, and what is kept for waiting tasks.
+  Resources used;
+  Resources reserved;
   // Recounted for a pass: it has not been heard since it started some run, and
   // this run is of a suspect task.
   bool has_unproven_run = false;
@@ -170,8 +172,12 @@
 
   // An order did not reach it; it gets no tasks before it answers a sync.
   void RecordUnreachable();
+  // Whether it could start tasks, its probation aside.
+  bool IsAvailable(TimePoint now) const;
   // Whether it may be given tasks as far as its own state goes.
-  bool IsUsable(TimePoint now) const;
+  bool IsUsable(TimePoint now) const {
+    return IsAvailable(now) && !health.IsOnProbation(now);
+  }
 
  private:
   // Its process is known to be another one, which may still carry out calls for
