--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -66,7 +66,10 @@
       workers(runner,
               runner,
               kAnswerTime,
-              [this](const TaskId&) { return run_time; }),
+              [this](const TaskId& task) {
+                const auto it = run_times.find(task.job);
+                return it == run_times.end() ? run_time : it->second;
+              }),
       load(store_clock),
       frontend(store, runner, runner, site, load, {}) {
   for (int rack = 0; rack < racks; ++rack) {
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -3,6 +3,7 @@
 #ifndef TESTS_BATCH_BATCH_FIXTURE_H_
 #define TESTS_BATCH_BATCH_FIXTURE_H_
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -81,7 +82,8 @@
   JobFrontend frontend;
   std::vector<Node> nodes;
   Duration run_time{2'500};
-  std::string key = "key-plaza";  // Of calls from now on.
+  std::map<JobId, Duration> run_times;  // Of single jobs, before `run_time`.
+  std::string key = "key-plaza";        // Of calls from now on.
   // Of nodes added from now on, from the store; 0: no limit.
   int64_t link_bytes_per_second = 0;
   DispatcherOptions dispatcher_options;  // Of nodes added from now on.
