--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -131,6 +131,7 @@
   TimePoint next_wait_log;     // Earliest time of the next line on its wait.
   // Since when it has stood still beside idle workers; unset while it does not.
   TimePoint standing_since;
+  TimePoint idle_room_at;    // When there last was such room.
   TimePoint next_stand_log;  // Earliest time of the next line on this.
 };
 
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -28,8 +28,10 @@
 // Then even a slow run is better than none. Below the 3 s for which the users
 // let a job stand.
 constexpr Duration kAmpleRoomPatience{2'000};
-// A worker on probation is given such a step when it has not failed for so
-// long.
+// Room that is gone for less than this does not end such a wait.
+constexpr Duration kRoomGap{300};
+// Such a step may use a worker on probation when its last quick failure,
+// refusal or stall is this long ago.
 constexpr Duration kProbationPatience{4'000};
 // A step waits this long for other workers than those on which it is likely to
 // fail. Longer than workers usually fail all that they start.
@@ -350,9 +352,7 @@
   return pool;
 }
 
-bool SchedulingPass::StandsBesideRoom(const PlacementUnit& unit) {
-  if (Job::HasStartedRuns(*unit.step))
-    return false;
+bool SchedulingPass::HasIdleRoom(const PlacementUnit& unit) {
   const ServicePool& pool = PoolOf(unit.job->record().service);
   if (pool.idle * 2 <= pool.capacity)
     return false;
@@ -363,12 +363,19 @@
 }
 
 Duration SchedulingPass::StandTime(const PlacementUnit& unit) {
-  TimePoint& since = unit.step->standing_since;
-  if (!StandsBesideRoom(unit))
-    since = TimePoint();
-  else if (since == TimePoint())
-    since = now_;
-  return since == TimePoint() ? Duration(0) : Duration(now_ - since);
+  StepProgress& step = *unit.step;
+  if (Job::HasStartedRuns(step)) {
+    step.standing_since = TimePoint();
+  } else if (HasIdleRoom(unit)) {
+    step.idle_room_at = now_;
+    if (step.standing_since == TimePoint())
+      step.standing_since = now_;
+  } else if (now_ - step.idle_room_at > kRoomGap) {
+    step.standing_since = TimePoint();
+  }
+  return step.standing_since == TimePoint()
+             ? Duration(0)
+             : Duration(now_ - step.standing_since);
 }
 
 void SchedulingPass::ObserveWait(const PlacementUnit& unit, const char* why) {
@@ -483,7 +490,7 @@
     const bool allow_spread =
         demand.rack_local && (outwaited || !FitsSomeRack(candidates, demand));
     if (const auto placement =
-            PlaceGangOnHealthyWorkers(unit, demand, allow_spread)) {
+            PlaceGangOnHealthyWorkers(unit, demand, allow_spread, outwaited)) {
       Assign(unit, *placement);
       return nullptr;
     }
@@ -528,15 +535,13 @@
     workers.push_back(&it);
   for (Candidate& it : pool.set_aside) {
     const Worker& worker = *inputs_.registry.Find(it.worker->id);
-    if (now_ - worker.health.last_incident() >= kProbationPatience)
+    if (now_ - worker.health.last_telling_incident() >= kProbationPatience)
       workers.push_back(&it);
   }
   return workers;
 }
 
 bool SchedulingPass::StartAnywhere(PlacementUnit& unit, Demand demand) {
-  if (AwaitsEndOfBurst(unit))
-    return false;
   demand.prefer_idle = unit.suspect;
   const auto place = [&](const std::vector<Candidate>& candidates) {
     return unit.spec->gang ? PlaceGang(candidates, demand, demand.rack_local)
@@ -591,7 +596,8 @@
 std::optional<Placement> SchedulingPass::PlaceGangOnHealthyWorkers(
     const PlacementUnit& unit,
     const Demand& demand,
-    bool allow_spread) {
+    bool allow_spread,
+    bool outwaited) {
   const std::vector<Candidate>& candidates =
       CandidatesOf(unit.job->record().service);
   const TimePoint burst_start = inputs_.failure_bursts.BurstStart(now_);
@@ -605,22 +611,17 @@
   }
   if (auto placement = PlaceGang(candidates, healthy_only, allow_spread))
     return placement;
-  if (AwaitsEndOfBurst(unit)) {
-    outcome_.repeat = true;
-    return std::nullopt;
-  }
-  return PlaceGang(candidates, demand, allow_spread);
-}
-
-bool SchedulingPass::AwaitsEndOfBurst(const PlacementUnit& unit) const {
-  if (!unit.spec->gang ||
-      inputs_.failure_bursts.BurstStart(now_) == TimePoint::max())
-    return false;
   int failures = 0;
   for (const TaskProgress& it : unit.step->tasks)
     failures = std::max(failures, it.failures);
   const bool last_attempt = failures + 1 >= unit.job->record().attempts;
-  return last_attempt && now_ - unit.step->ready_since <= kLastAttemptMaxWait;
+  const bool patient =
+      !outwaited && now_ - unit.step->ready_since <= kLastAttemptMaxWait;
+  if (last_attempt && patient) {
+    outcome_.repeat = true;
+    return std::nullopt;
+  }
+  return PlaceGang(candidates, demand, allow_spread);
 }
 
 void SchedulingPass::Assign(PlacementUnit& unit, const Placement& placement) {
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -164,7 +164,7 @@
   }
   // Whether runs use less than half of the service and leave room for the step
   // twice over: for a whole gang, or for one task of others.
-  bool StandsBesideRoom(const PlacementUnit& unit);
+  bool HasIdleRoom(const PlacementUnit& unit);
   // Logs and counts a step that has stood still beside idle workers for long.
   void ObserveWait(const PlacementUnit& unit, const char* why);
   // For how long the step has stood still beside idle workers; zero if it does
@@ -198,9 +198,8 @@
   // that started since the beginning of the burst has succeeded.
   std::optional<Placement> PlaceGangOnHealthyWorkers(const PlacementUnit& unit,
                                                      const Demand& demand,
-                                                     bool allow_spread);
-  // Whether a failure burst goes on and the gang has only one attempt left.
-  bool AwaitsEndOfBurst(const PlacementUnit& unit) const;
+                                                     bool allow_spread,
+                                                     bool outwaited);
   // Places the first waiting tasks of the unit, which then wait no longer.
   void Assign(PlacementUnit& unit, const std::vector<Candidate*>& workers);
   // The same on the candidates of its service.
--- a/servers/batch/worker_health.cc
+++ b/servers/batch/worker_health.cc
@@ -41,7 +41,10 @@
                                  TimePoint now) {
   newest_failed_start_ = std::max(newest_failed_start_, started);
   const bool repeated = !failed_jobs_.insert(job).second;
-  if (now - started <= kQuickFailureLimit || failed_jobs_.size() > 1) {
+  const bool quick = now - started <= kQuickFailureLimit;
+  if (quick)
+    last_telling_incident_ = now;
+  if (quick || failed_jobs_.size() > 1) {
     // Failures of one job's runs that were started together count once.
     if (repeated && IsOnProbation(now))
       return;
@@ -61,11 +64,13 @@
 
 void WorkerHealth::RecordRefusal(TimePoint now) {
   newest_failed_start_ = std::max(newest_failed_start_, now);
+  last_telling_incident_ = now;
   PutOnProbation(now, kRefusalProbation);
 }
 
 void WorkerHealth::RecordStall(TimePoint now) {
   stalled_ = true;
+  last_telling_incident_ = now;
   newest_failed_start_ = std::max(newest_failed_start_, now);
   if (!IsOnProbation(now))
     PutOnProbation(now, kFirstProbation);
--- a/servers/batch/worker_health.h
+++ b/servers/batch/worker_health.h
@@ -30,7 +30,9 @@
   void RecordStall(TimePoint now);
   void RecordProgress();
   bool is_stalled() const { return stalled_; }
-  TimePoint last_incident() const { return last_incident_; }
+  // The last quick failure, refusal or stall. A run that fails later may only
+  // do so by its own fault.
+  TimePoint last_telling_incident() const { return last_telling_incident_; }
 
   // Whether the worker gets no tasks for now.
   bool IsOnProbation(TimePoint now) const { return now < probation_until_; }
@@ -47,6 +49,7 @@
   int incident_count_ = 0;  // Since the last success.
   std::set<JobId> failed_jobs_;
   TimePoint last_incident_;
+  TimePoint last_telling_incident_;
   TimePoint newest_failed_start_;  // Of the newest failed run.
   TimePoint probation_until_;
   TimePoint last_success_start_;
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -14,6 +14,8 @@
 using batch::OrderResult;
 
 constexpr Duration kFailTime{200};
+// Tasks that fail by their own fault do so in the course of their work.
+constexpr Duration kOwnFailTime{500};
 constexpr Duration kLongestLease{6'000};
 constexpr Duration kGangWait{4'000};
 constexpr Duration kCrashDelay{10};
@@ -356,7 +358,7 @@
     EndAfter(kFailTime, id, order.task, EndReason::kFailed);
   else if (gang_size > 1)
     JoinGang(worker, order.task);
-  else if (!run.stands_still)
+  else if (!run.stands_still && !FailHalfway(worker, order.task))
     EndAfter(run.duration, id, order.task, EndReason::kDone);
   return reply;
 }
@@ -404,13 +406,23 @@
     member.started_at = clock_.Now();
     stands_still = stands_still || member.stands_still;
   }
-  if (stands_still)
+  if (stands_still || FailHalfway(worker, task))
     return;
   runner_.PostAfter(run.duration, [this, task, attempt = run.attempt] {
     EndGang(task, attempt);
   });
 }
 
+bool ModelWorkers::FailHalfway(const ModelWorker& worker,
+                               const batch::TaskId& task) {
+  if (!failing_ || !failing_(task))
+    return false;
+  const Duration half = worker.runs.at(task).duration / 2;
+  EndAfter(std::max(half, kOwnFailTime), worker.entry.id, task,
+           EndReason::kFailed);
+  return true;
+}
+
 void ModelWorkers::EndGang(const batch::TaskId& task, Attempt attempt) {
   // Members that have ended before took the others with them.
   for (const Member& it : MembersOf(task, attempt))
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -53,6 +53,11 @@
   // Tasks that crash each worker soon after it starts them.
   using DeadlyTasks = std::function<bool(const batch::TaskId&)>;
   void set_deadly_tasks(DeadlyTasks deadly) { deadly_ = std::move(deadly); }
+  // Tasks that fail on each worker after half of their run time, or 500 ms.
+  using FailingTasks = std::function<bool(const batch::TaskId&)>;
+  void set_failing_tasks(FailingTasks failing) {
+    failing_ = std::move(failing);
+  }
   int crashes() const { return crashes_; }
   // What the worker would tell the platform of itself.
   const batch::WorkerEntry& entry(const WorkerId& id) const {
@@ -196,6 +201,8 @@
   std::vector<Member> MembersOf(const batch::TaskId& task, Attempt attempt);
   void JoinGang(ModelWorker& worker, const batch::TaskId& task);
   void EndGang(const batch::TaskId& task, Attempt attempt);
+  // Lets a task that fails by its own fault do so later. False for others.
+  bool FailHalfway(const ModelWorker& worker, const batch::TaskId& task);
 
   TaskRunner& runner_;
   const Clock& clock_;
@@ -204,6 +211,7 @@
   GangSize gang_size_;
   Duration gang_news_delay_{0};
   DeadlyTasks deadly_;
+  FailingTasks failing_;
   Lateness lateness_;
   int crashes_ = 0;
   CrashStyle crash_style_ = CrashStyle::kRefusing;
--- a/tests/batch/ample_room_test.cc
+++ b/tests/batch/ample_room_test.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -207,10 +208,16 @@
   }
   fixture.Run(Duration(100));
   constexpr std::array kQueueNames = {"/holds/", "/plans/", "/sketches/"};
+  std::set<JobId> hopeless;
+  fixture.workers.set_failing_tasks(
+      [&](const TaskId& it) { return hopeless.contains(it.job); });
   const auto add = [&] {
     auto [spec, duration] = RandomJob(random, workers_a_rack);
     fixture.key = random.Chance(0.5) ? "key-plaza" : "key-parque";
-    fixture.Add(std::move(spec), duration, kQueueNames[random.Below(3)]);
+    const JobId id =
+        fixture.Add(std::move(spec), duration, kQueueNames[random.Below(3)]);
+    if (random.Chance(0.15))
+      hopeless.insert(id);
   };
   // Long runs that leave each rack partly used.
   for (int rack = 0; rack < racks; ++rack) {
