Soak: watch for standing jobs whenever it has been calm

The check for jobs that stand still beside room ran only after the last fault, or between faults as if each ended at once.

--- a/tests/soak/entry_process.h
+++ b/tests/soak/entry_process.h
@@ -48,6 +48,8 @@
   // process since the last call; empty when nothing did.
   std::string Tick(TimePoint now);
 
+  // Whether it runs and has not been asked to stop.
+  bool is_up() const { return running_ && !terminated_at_; }
   pid_t pid() const { return process_.pid(); }
   const std::string& name() const { return options_.name; }
   int caller_port() const { return caller_proxy_.port(); }
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -72,6 +72,11 @@
   (this->*kind.inject)(now);
 }
 
+bool SoakFaults::HasOpenFaults() const {
+  return std::ranges::any_of(ends_,
+                             [](const auto& it) { return *it != nullptr; });
+}
+
 void SoakFaults::EndAll() {
   for (const auto& it : std::exchange(ends_, {})) {
     if (*it)
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -33,6 +33,8 @@
 
   // Injects one fault, which ends by itself after a while.
   void InjectOne(TimePoint now);
+  // Whether some fault has not ended yet.
+  bool HasOpenFaults() const;
   // Ends all faults and starts what is down.
   void EndAll();
 
--- a/tests/soak/soak_main.cc
+++ b/tests/soak/soak_main.cc
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
@@ -146,6 +147,10 @@
       CheckStandingJobs();
       next_stand_check_ = now + kStandGap;
     }
+    const bool all_up =
+        std::ranges::all_of(nodes_, [](const auto& it) { return it->is_up(); });
+    if (faults_->HasOpenFaults() || !all_up)
+      disturbed_at_ = now;
     const bool faulty = now < began_ + Duration(options_.seconds * 1'000);
     if (faulty)
       Disturb(now);
@@ -161,15 +166,10 @@
   }
 
   void CheckStandingJobs() {
-    // Faults that last do not end before the others with a calm time between.
-    const bool calm = healed_at_ || options_.calm_s > 0;
-    if (!calm)
-      return;
     std::vector<batch::WorkerEntry> workers;
     for (size_t n = 0; n < fleet_.worker_count(); ++n)
       workers.push_back(fleet_.worker(n));
-    callers_->CheckStandingJobs(workers, fleet_.cap(),
-                                healed_at_ ? *healed_at_ : last_fault_);
+    callers_->CheckStandingJobs(workers, fleet_.cap(), disturbed_at_);
   }
 
   void Disturb(TimePoint now) {
@@ -188,7 +188,7 @@
     }
     while (now >= next_fault_) {
       faults_->InjectOne(now);
-      last_fault_ = now;
+      disturbed_at_ = now;
       next_fault_ += Duration(options_.calm_s * 1'000) +
                      gap(kShortestFaultGap, kLongestFaultGap);
     }
@@ -196,7 +196,7 @@
 
   void Heal(TimePoint now) {
     faults_->EndAll();
-    healed_at_ = now;
+    healed_at_ = disturbed_at_ = now;
   }
 
   // Whether all is settled, or never will be.
@@ -272,7 +272,7 @@
   TimePoint next_surge_;
   TimePoint next_count_;
   TimePoint next_fault_;
-  TimePoint last_fault_;
+  TimePoint disturbed_at_;  // The last time with a fault or a node down.
   TimePoint next_stand_check_;
   std::optional<TimePoint> healed_at_;
   std::optional<TimePoint> settled_at_;
