Check a worker again before a recorded start is sent

A start is now sent only while its worker may still be given the task; one that was never sent is given up at once, one that may have been sent ends by its timeout. A run that the worker does not list is not sent again there either.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -147,6 +147,9 @@
   // dispatcher_orders.cc: start and stop orders to workers.
   void TickRuns(TimePoint now);
   void TickRun(Job& job, const TaskId& id, TaskProgress& task, TimePoint now);
+  // Whether the worker may still be given the task: since it was chosen, or
+  // since a former leader chose it, it may have changed.
+  bool MayStartOn(const Job& job, const TaskId& id, const Worker& worker) const;
   // Whether some worker holds a run of the task that is not assigned to it.
   bool IsHeldAsStray(const TaskId& id, TimePoint now) const;
   void SendStart(Job& job, const TaskId& id, Run& run, TimePoint now);
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -103,6 +103,13 @@
       worker.entry.port == 0)
     return;
   if (run.phase == RunPhase::kStarting && !retired_) {
+    if (now - run.phase_since <= kStartTimeout &&
+        !MayStartOn(job, id, worker)) {
+      // One that may have been sent ends by its timeout.
+      if (!run.ordered && !run.uncertain)
+        MarkRunLost(job, id, run.attempt, "its worker may not run it any more");
+      return;
+    }
     if (now - run.phase_since <= kStartTimeout) {
       // A successor must be able to tell when the run has expired, even if a
       // restarted process of the worker carries the order out.
@@ -125,6 +132,13 @@
     SendStop(id, run, now);
 }
 
+bool Dispatcher::MayStartOn(const Job& job,
+                            const TaskId& id,
+                            const Worker& worker) const {
+  return !worker.entry.draining && !site_.IsEvacuated(worker.entry.domain) &&
+         IsEligible(worker.entry, MakeDemand(job.spec(id.step), 1));
+}
+
 bool Dispatcher::IsHeldAsStray(const TaskId& id, TimePoint now) const {
   return std::ranges::any_of(registry_.workers(), [&](const auto& entry) {
     const Worker& worker = entry.second;
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -396,7 +396,8 @@
     Run& run = *task->run;
     if (listed.contains({id, run.attempt}))
       continue;
-    if (run.phase == RunPhase::kRecovered && NeverStarted(*job, worker)) {
+    if (run.phase == RunPhase::kRecovered && NeverStarted(*job, worker) &&
+        MayStartOn(*job, id, worker)) {
       ResendStart(id, run, now);
       continue;
     }
--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -51,6 +51,35 @@
 
 }  // namespace
 
+// Guards against starts in a failure domain that is out of service, which a
+// former leader had recorded before.
+TEST_CASE("A new leader repeats no start in an evacuated failure domain") {
+  LeaderFixture fixture(1, 2);
+  bool gang = false;
+  SUBCASE("tasks") {}
+  SUBCASE("a gang") {
+    gang = true;
+  }
+  if (gang)
+    fixture.workers.set_gang_size([](const StartOrder&) { return 2; });
+  fixture.AddNode("n2");
+  fixture.Run(Duration(1'000));
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).silent = true;
+  fixture.Submit(kJob, MakeJob(2, 8, gang), "/holds/");
+  fixture.Run(Duration(200));
+  fixture.Kill(static_cast<size_t>(fixture.Leader()));
+  fixture.site.SetEvacuated(DomainId("cartago"), true);
+  fixture.Run(Duration(2'000));
+  for (const WorkerEntry& it : fixture.listed)
+    fixture.workers.faults(it.id).silent = false;
+  fixture.Run(kTakeover);
+  CHECK(fixture.workers.total_starts() == 0);
+  fixture.site.SetEvacuated(DomainId("cartago"), false);
+  CHECK(fixture.RunUntilFinal(kJob, Duration(20'000)) == JobPhase::kComplete);
+  CHECK(fixture.workers.violations().empty());
+}
+
 // Guards against a cancelled job's task that runs on forever because the stop
 // orders of the leader that cancelled it were lost with that leader.
 TEST_CASE("A new leader stops the tasks of a cancelled job") {
