Use a restarted worker only once its entry tells of the present process

Syncs tell of a restart before the entry does.

A worker whose process has changed is given tasks only when an entry of the present process has been read. An entry of a former process, read late, takes it out of use again.

Test: 'A worker restarted as another kind gets no tasks of its former one' failed on the parent (2 starts instead of 1) and passes.

--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -68,6 +68,7 @@
   if (entry.incarnation_start_wall_ms != 0)
     former_incarnation_start_wall_ms = entry.incarnation_start_wall_ms;
   entry.incarnation_start_wall_ms = incarnation_start_wall_ms;
+  is_described = false;
   RaiseFence();
   settling_series = fence_series;
   settled = false;
@@ -194,8 +195,9 @@
 }
 
 bool Worker::IsAvailable(TimePoint now) const {
-  return listed && synced && settled && has_clock && !entry.draining &&
-         now >= full_until && sync_failures < kUnreachableSyncs;
+  return listed && is_described && synced && settled && has_clock &&
+         !entry.draining && now >= full_until &&
+         sync_failures < kUnreachableSyncs;
 }
 
 Worker& WorkerRegistry::Update(const WorkerEntry& entry, TimePoint now) {
@@ -224,6 +226,10 @@
     worker.entry.incarnation_start_wall_ms = known_start;
   if (reborn)
     worker.ResetForIncarnation(entry.incarnation_start_wall_ms, now);
+  worker.is_described =
+      !tells_of_former &&
+      (entry.incarnation_start_wall_ms == 0 || known_start == 0 ||
+       entry.incarnation_start_wall_ms >= known_start);
   return worker;
 }
 
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -48,6 +48,9 @@
   WorkerEntry entry;
   bool listed = false;  // The platform lists it.
   TimePoint leaves_at;  // While it drains: not before this time.
+  // `entry` tells of its present process, which may be of another kind than a
+  // former one.
+  bool is_described = false;
   // Some answer came under the present epoch, so that orders of former leaders
   // are refused there.
   bool synced = false;
--- a/tests/batch/restarted_worker_test.cc
+++ b/tests/batch/restarted_worker_test.cc
@@ -125,12 +125,40 @@
   fixture.workers.faults(holder).silent = true;
   if (!planned)
     fixture.Kill(0);
+  // The platform lists the present processes by now.
+  for (WorkerEntry& it : fixture.listed)
+    it.incarnation_start_wall_ms = 2;
   fixture.AddNode("n2");
   fixture.Run(Duration(20'000));
   CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against tasks on a worker that has lost the label that they need.
+TEST_CASE(
+    "A worker restarted as another kind gets no tasks of its former one") {
+  LeaderFixture fixture(1, 2);
+  fixture.run_time = Duration(60'000);
+  WorkerEntry& restarted = fixture.listed[0];
+  restarted.labels = {"b", restarted.rack.value()};
+  fixture.Run(Duration(100));
+  JobSpec spec = MakeJob(1, 8, false);
+  spec.steps[0].required_label = "b";
+  fixture.Submit(kJob, spec);
+  REQUIRE(AwaitHolder(fixture, kJob) == restarted.id);
+  // Its entry is still that of the former process.
+  fixture.workers.Restart(restarted.id, 2);
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 1);
+  restarted.incarnation_start_wall_ms = 2;
+  restarted.labels = {"a", restarted.rack.value()};
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 1);
+  restarted.labels = {"b", restarted.rack.value()};
+  fixture.Run(Duration(3'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
+}
+
 // Guards against a bound on a lease that presumes the clock of a process that
 // may have ended.
 TEST_CASE("A lease counts as the longest one while a start has no answer") {
