--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -353,10 +353,16 @@
 }
 
 bool SchedulingPass::HasIdleRoom(const PlacementUnit& unit) {
+  const int needed = unit.spec->gang ? unit.spec->tasks : 1;
+  // Its own reservation counts against the cap already.
+  if (unit.step->reserved.empty() &&
+      caps_.CountFits(unit.job->record().workspace, unit.spec->resources) <
+          needed)
+    return false;
   const ServicePool& pool = PoolOf(unit.job->record().service);
   if (pool.idle * 2 <= pool.capacity)
     return false;
-  const int twice = 2 * (unit.spec->gang ? unit.spec->tasks : 1);
+  const int twice = 2 * needed;
   const Demand demand = MakeDemand(*unit.spec, twice);
   const int fits = CountIdleFits(pool.candidates, demand, twice);
   return fits + CountIdleFits(pool.set_aside, demand, twice - fits) >= twice;
@@ -364,13 +370,12 @@
 
 Duration SchedulingPass::StandTime(const PlacementUnit& unit) {
   StepProgress& step = *unit.step;
-  if (Job::HasStartedRuns(step)) {
-    step.standing_since = TimePoint();
-  } else if (HasIdleRoom(unit)) {
+  const bool runs = Job::HasStartedRuns(step);
+  if (!runs && HasIdleRoom(unit)) {
     step.idle_room_at = now_;
     if (step.standing_since == TimePoint())
       step.standing_since = now_;
-  } else if (now_ - step.idle_room_at > kRoomGap) {
+  } else if (runs || now_ - step.idle_room_at > kRoomGap) {
     step.standing_since = TimePoint();
   }
   return step.standing_since == TimePoint()
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -163,7 +163,8 @@
     return PoolOf(service).candidates;
   }
   // Whether runs use less than half of the service and leave room for the step
-  // twice over: for a whole gang, or for one task of others.
+  // twice over, for a whole gang or for one task of others, and the cap of its
+  // workspace lets it start.
   bool HasIdleRoom(const PlacementUnit& unit);
   // Logs and counts a step that has stood still beside idle workers for long.
   void ObserveWait(const PlacementUnit& unit, const char* why);
