Start one task of a job that stands still, and end its wait at shorter gaps

A step of tasks that are no gang now starts one task there, which is what a job that stands still needs; the others stay deferred. Gaps of up to 100 ms are passed over, as long as the leader counts a run before it has started and after it has ended.

--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -29,7 +29,7 @@
 // let a job stand.
 constexpr Duration kAmpleRoomPatience{2'000};
 // Room that is gone for less than this does not end such a wait.
-constexpr Duration kRoomGap{300};
+constexpr Duration kRoomGap{100};
 // Such a step may use a worker on probation when its last quick failure,
 // refusal or stall is this long ago.
 constexpr Duration kProbationPatience{4'000};
@@ -473,7 +473,9 @@
     demand = std::move(preferred);
   if (unit.suspect)
     Isolate(unit, candidates, demand);
-  if (CanDefer(unit) && !outwaited) {
+  const Demand any_rack = demand;
+  // Of tasks that are no gang, one is enough for a job that stands still.
+  if (CanDefer(unit) && (!outwaited || !unit.spec->gang)) {
     const auto [it, added] = headroom_.try_emplace(unit.job->record().service);
     if (added)
       it->second = ChooseHeadroom(candidates, kHeadroomShare);
@@ -483,7 +485,7 @@
     const Placement placement = PlaceTasks(candidates, demand);
     if (!placement.empty())
       Assign(unit, placement);
-    else if (outwaited && StartAnywhere(unit, unrestricted))
+    else if (outwaited && StartAnywhere(unit, {any_rack, unrestricted}))
       return nullptr;
     for (const size_t n : placement)
       demand.present.push_back(candidates[n].worker->id);
@@ -499,7 +501,7 @@
       Assign(unit, *placement);
       return nullptr;
     }
-    if (outwaited && StartAnywhere(unit, unrestricted))
+    if (outwaited && StartAnywhere(unit, {unrestricted}))
       return nullptr;
   }
   if (!MayReserve(unit))
@@ -525,7 +527,8 @@
 
 bool SchedulingPass::HasOutwaitedRoom(const PlacementUnit& unit) {
   const Duration stood = StandTime(unit);
-  const bool outwaited = stood >= kAmpleRoomPatience;
+  const bool outwaited =
+      stood >= kAmpleRoomPatience && !Job::HasRuns(*unit.step);
   const bool stands = unit.step->standing_since != TimePoint();
   outcome_.repeat = outcome_.repeat || (stands && !outwaited);
   return outwaited;
@@ -546,16 +549,25 @@
   return workers;
 }
 
-bool SchedulingPass::StartAnywhere(PlacementUnit& unit, Demand demand) {
-  demand.prefer_idle = unit.suspect;
-  const auto place = [&](const std::vector<Candidate>& candidates) {
+bool SchedulingPass::StartAnywhere(PlacementUnit& unit,
+                                   std::vector<Demand> demands) {
+  for (Demand& it : demands) {
+    it.prefer_idle = unit.suspect;
+    if (!unit.spec->gang)
+      it.tasks = 1;
+  }
+  const auto place = [&](const std::vector<Candidate>& candidates,
+                         const Demand& demand) {
     return unit.spec->gang ? PlaceGang(candidates, demand, demand.rack_local)
                                  .value_or(Placement())
                            : PlaceTasks(candidates, demand);
   };
   const ServiceName& service = unit.job->record().service;
-  Placement placement = place(CandidatesOf(service));
-  if (!placement.empty()) {
+  Placement placement;
+  for (const Demand& it : demands) {
+    placement = place(CandidatesOf(service), it);
+    if (placement.empty())
+      continue;
     Assign(unit, placement);
     return true;
   }
@@ -566,7 +578,7 @@
     candidates.push_back(*it);
     candidates.back().free += it->awaiting;
   }
-  placement = place(candidates);
+  placement = place(candidates, demands.back());
   if (placement.empty())
     return false;
   std::vector<Candidate*> chosen;
--- a/servers/batch/planning/scheduling_pass.h
+++ b/servers/batch/planning/scheduling_pass.h
@@ -188,9 +188,10 @@
   bool CanDefer(const PlacementUnit& unit) const;
   // The workers that the unit may use when no preference counts any more.
   std::vector<Candidate*> AllWorkersFor(const ServiceName& service);
-  // Starts the unit wherever it has room: also spread over racks, on workers
-  // with failures, and on those that gangs keep idle.
-  bool StartAnywhere(PlacementUnit& unit, Demand demand);
+  // Starts a gang, or one task of others, wherever there is room: also spread
+  // over racks, on workers with failures, and on those that gangs keep idle.
+  // The first of `demands` with room counts; the last one has no preferences.
+  bool StartAnywhere(PlacementUnit& unit, std::vector<Demand> demands);
   // Starts the unit if it can. Returns why it waits, null when it does not.
   const char* StartUnit(PlacementUnit& unit);
   // Logs the wait of an urgent unit at a bounded rate.
