--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -28,7 +28,8 @@
 // Then even a slow run is better than none. Below the 3 s for which the users
 // let a job stand.
 constexpr Duration kAmpleRoomPatience{2'000};
-// Room that is gone for less than this does not end such a wait.
+// Room that is gone for less than this does not end such a wait: a run counts
+// from its assignment, before it starts, until its end is known.
 constexpr Duration kRoomGap{100};
 // Such a step may use a worker on probation when its last quick failure,
 // refusal or stall is this long ago.
