Count the platform's longest lease, until an answer shows a shorter one

Cause: the longest lease (6 s), and the bound that a successor counts with (8 s), were constants. The deploy file did not ask for the platform's bound.

Change: limits.longest_lease_ms, filled in from the platform, is the one source of both bounds. A lease counts as the longest one only until its call has been answered; the answer's clock then shows what is left of it on the process that took it. Calls that were never sent count nothing. So a confirmed run is given up 5.3 s after its last renewal, instead of 6.3 s (or 10.4 s with 10 s) after the last start on its worker.

--- a/main/daemon/entry_node.cc
+++ b/main/daemon/entry_node.cc
@@ -179,7 +179,8 @@
                   site_,
                   metrics_,
                   lease_,
-                  {.max_polls = PollLimit(settings.max_descriptors)},
+                  {.max_polls = PollLimit(settings.max_descriptors),
+                   .lease_limits = {.longest = settings.longest_lease}},
                   seed) {}
 
 EntryNode::~EntryNode() = default;
--- a/servers/batch/dispatcher.cc
+++ b/servers/batch/dispatcher.cc
@@ -62,6 +62,7 @@
       fencing_token_(fencing_token),
       on_deposed_(std::move(on_deposed)),
       options_(options),
+      registry_(options.lease_limits),
       writer_(
           store,
           clock,
@@ -217,7 +218,7 @@
 Duration Dispatcher::MaxLease(TimePoint now) const {
   const TimePoint confirmed =
       std::max(leadership_confirmed_at_, writer_.confirmed_at());
-  return confirmed + kUnconfirmedLeaseLimit - now;
+  return confirmed + options_.lease_limits.unconfirmed() - now;
 }
 
 void Dispatcher::OnStates(const std::vector<StoreRow>& rows) {
--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -44,6 +44,7 @@
   // Workers beyond it are synced without waiting, so that their orders always
   // find a free descriptor.
   int max_polls = 3'000;
+  LeaseLimits lease_limits;
 };
 
 // What a leader knows of the site, for logs and the status page.
@@ -158,6 +159,13 @@
                     const WorkerId& worker_id,
                     Fence fence,
                     const absl::StatusOr<OrderReply>& reply);
+  // A call of this fence that granted the lease has ended with `status`;
+  // `clock_ms` is the worker's clock in the answer, if there is one.
+  void CloseLease(const WorkerId& id,
+                  Fence fence,
+                  const CallLease& lease,
+                  const absl::Status& status,
+                  std::optional<int64_t> clock_ms);
   void SendStop(const TaskId& id, Run& run, TimePoint now);
   void OnStopReply(const TaskId& id,
                    Attempt attempt,
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -45,7 +45,7 @@
 void Dispatcher::TickRuns(TimePoint now) {
   for (auto& [id, worker] : registry_.workers()) {
     worker.runs = 0;
-    worker.has_unanswered_start = false;
+    worker.unanswered_starts = 0;
     worker.assigned.clear();
   }
   for (auto it = live_.begin(); it != live_.end();) {
@@ -63,7 +63,7 @@
             if (IsOrdered(task.run->phase))
               ++worker.runs;
             if (task.run->IsUnanswered())
-              worker.has_unanswered_start = true;
+              ++worker.unanswered_starts;
             TickRun(job, id, task, now);
           }
           has_runs = has_runs || task.run.has_value();
@@ -86,7 +86,7 @@
   Worker& worker = registry_.FindOrAdd(run.worker, now);
   // The run has ended once every lease of its worker has expired. Before the
   // first order is sent, the worker's last lease does not cover the run.
-  const bool lease_expired = run.ordered && now > worker.leases_end;
+  const bool lease_expired = run.ordered && now > worker.LeasesEnd();
   if (lease_expired && !worker.MayOutlastLeases(run, now)) {
     MarkRunLost(job, id, run.attempt, "the worker's leases have expired");
     return;
@@ -113,7 +113,7 @@
     if (now - run.phase_since <= kStartTimeout) {
       // A successor must be able to tell when the run has expired, even if a
       // restarted process of the worker carries the order out.
-      if (worker.settled && MaxLease(now) >= kLongestLease &&
+      if (worker.settled && MaxLease(now) >= worker.lease_limits.longest &&
           !IsHeldAsStray(id, now))
         SendStart(job, id, run, now);
       return;
@@ -157,8 +157,10 @@
   order.fence = FenceOf(worker);
   order.payload = job.record().spec.payload;
   order.checkpoint = job.Find(id)->checkpoint;
-  worker.has_unanswered_start = true;
-  order.lease_until_ms = worker.GrantLease(now, kStartLease, "start");
+  if (!run.IsUnanswered())
+    ++worker.unanswered_starts;
+  const CallLease lease = worker.GrantLease(now, kStartLease, "start");
+  order.lease_until_ms = lease.end_clock_ms;
   if (!std::exchange(run.ordered, true))
     run.ordered_at = now;
   ++worker.runs;
@@ -166,12 +168,31 @@
   port_.Start(
       worker.entry, order, kOrderTimeout,
       [this, alive = alive_, id, attempt = run.attempt, worker_id = run.worker,
-       fence = order.fence](const absl::StatusOr<OrderReply>& reply) {
-        if (*alive && !deposed_)
-          OnStartReply(id, attempt, worker_id, fence, reply);
+       fence = order.fence, lease](const absl::StatusOr<OrderReply>& reply) {
+        if (!*alive || deposed_)
+          return;
+        CloseLease(worker_id, fence, lease, reply.status(),
+                   reply.ok() ? reply->clock_ms : std::nullopt);
+        OnStartReply(id, attempt, worker_id, fence, reply);
       });
 }
 
+void Dispatcher::CloseLease(const WorkerId& id,
+                            Fence fence,
+                            const CallLease& lease,
+                            const absl::Status& status,
+                            std::optional<int64_t> clock_ms) {
+  Worker* const worker = registry_.Find(id);
+  if (!worker)
+    return;
+  if (absl::IsUnavailable(status))
+    worker->CloseLease(lease, Duration(0), clock_.Now());
+  // An answer of the former process tells nothing of the present one.
+  else if (clock_ms && !worker->PrecedesRestart(SeriesOf(fence)))
+    worker->CloseLease(lease, Duration(lease.end_clock_ms - *clock_ms),
+                       clock_.Now());
+}
+
 Run* Dispatcher::FindRun(const TaskId& id,
                          Attempt attempt,
                          const WorkerId& worker) {
@@ -275,6 +296,9 @@
                              const TaskId& id,
                              Run& run,
                              TimePoint now) {
+  Worker& worker = registry_.FindOrAdd(run.worker, now);
+  if (run.IsUnanswered() && worker.unanswered_starts > 0)
+    --worker.unanswered_starts;
   run.phase = RunPhase::kRunning;
   run.phase_since = now;
   run.confirmed_event = ++last_event_;
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -70,9 +70,12 @@
   // A worker that does not answer gets no further leases: each sync might still
   // be delivered late, so its runs could never be known to have expired.
   const Duration lease = std::min(kLeaseLength, MaxLease(now));
+  std::optional<CallLease> granted;
   if (worker.runs > 0 && worker.has_clock && worker.sync_failures == 0 &&
-      lease > Duration(0) && worker.LongestEffect(lease) <= MaxLease(now))
-    request.lease_until_ms = worker.GrantLease(now, lease, "sync");
+      lease > Duration(0) && worker.LongestEffect(lease) <= MaxLease(now)) {
+    granted = worker.GrantLease(now, lease, "sync");
+    request.lease_until_ms = granted->end_clock_ms;
+  }
   const bool may_wait = worker.synced && worker.pending_ends.empty() &&
                         !worker.sync_soon && worker.sync_failures == 0;
   const bool polls = may_wait && polls_ < options_.max_polls;
@@ -82,22 +85,28 @@
   }
   worker.sync_soon = false;
   worker.sync_in_flight = true;
-  port_.Sync(worker.entry, request, kSyncTimeout + request.wait,
-             [this, alive = alive_, id = worker.entry.id, polls,
-              series = worker.fence_series, sent_event = ++last_event_,
-              noted = request.acknowledged_ends](
-                 const absl::StatusOr<SyncReply>& reply) {
-               if (!*alive || deposed_)
-                 return;
-               if (polls)
-                 --polls_;
-               Worker* const known = registry_.Find(id);
-               if (known && reply.ok() && reply->result == OrderResult::kDone &&
-                   !known->PrecedesRestart(series))
-                 known->acknowledged_ends =
-                     std::max(known->acknowledged_ends, noted);
-               OnSyncReply(id, series, sent_event, reply);
-             });
+  port_.Sync(
+      worker.entry, request, kSyncTimeout + request.wait,
+      [this, alive = alive_, id = worker.entry.id, polls,
+       series = worker.fence_series, sent_event = ++last_event_, granted,
+       noted =
+           request.acknowledged_ends](const absl::StatusOr<SyncReply>& reply) {
+        if (!*alive || deposed_)
+          return;
+        if (polls)
+          --polls_;
+        Worker* const known = registry_.Find(id);
+        if (known && reply.ok() && reply->result == OrderResult::kDone &&
+            !known->PrecedesRestart(series))
+          known->acknowledged_ends = std::max(known->acknowledged_ends, noted);
+        if (granted) {
+          const bool done = reply.ok() && reply->result == OrderResult::kDone;
+          CloseLease(id, MakeFence(fencing_token_.epoch, series), *granted,
+                     reply.status(),
+                     done ? std::optional(reply->clock_ms) : std::nullopt);
+        }
+        OnSyncReply(id, series, sent_event, reply);
+      });
 }
 
 void Dispatcher::OnSyncReply(const WorkerId& id,
@@ -506,6 +515,7 @@
   run.phase = RunPhase::kStarting;
   run.phase_since = now;
   run.started_at = TimePoint();
+  ++registry_.FindOrAdd(run.worker, now).unanswered_starts;
   // Workers refuse orders of the former leader from now on, but a refusal of
   // this order does not prove that the run was never started.
   run.uncertain = true;
--- a/servers/batch/lease_handover.cc
+++ b/servers/batch/lease_handover.cc
@@ -58,7 +58,8 @@
   const Duration left = limit_ - now;
   const Duration lease = std::min(kLeaseLength, left);
   if (worker.LongestEffect(lease) <= left)
-    request.lease_until_ms = worker.GrantLease(now, lease, "hand-over");
+    request.lease_until_ms =
+        worker.GrantLease(now, lease, "hand-over").end_clock_ms;
   worker.sync_in_flight = true;
   worker.next_sync = now + kRenewalInterval;
   port_.Sync(
@@ -94,7 +95,7 @@
   }
   worker.ObserveClock(reply->clock_ms, now);
   // Further leases are counted on the clock of the process that holds the runs.
-  worker.has_unanswered_start = false;
+  worker.unanswered_starts = 0;
 }
 
 }  // namespace quetzalshelf::batch
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -171,7 +171,7 @@
       ChargeStray(id, task);
       strays_.insert(task);
       outcome_.strays_end =
-          std::min(outcome_.strays_end, Worker::OpenStartEnd(sent_at));
+          std::min(outcome_.strays_end, worker.OpenStartEnd(sent_at));
     }
   }
   for (Job* const live : inputs_.jobs) {
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -20,6 +20,13 @@
 // A task that makes its worker crash does so within this time of its start.
 constexpr Duration kCrashWindow{1'000};
 
+// When a lease of this length, granted by now, has ended on the slowest clock.
+TimePoint LatestEnd(TimePoint now, Duration length) {
+  const auto longest = static_cast<int64_t>(
+      std::ceil(static_cast<double>(length.count()) / kSlowestClock));
+  return now + Duration(longest) + kLeaseMargin;
+}
+
 }  // namespace
 
 int64_t Worker::EstimateClock(TimePoint now) const {
@@ -27,17 +34,34 @@
   return clock_ms + static_cast<int64_t>(std::floor(elapsed * kSlowestClock));
 }
 
-int64_t Worker::GrantLease(TimePoint now, Duration length, const char* order) {
-  CountLease(now, LongestEffect(length));
+CallLease Worker::GrantLease(TimePoint now,
+                             Duration length,
+                             const char* order) {
   last_grant = {order, now, EstimateClock(now) + length.count(),
                 entry.incarnation_start_wall_ms};
-  return last_grant.end_clock_ms;
+  CallLease lease{.end_clock_ms = last_grant.end_clock_ms};
+  if (const Duration effect = LongestEffect(length); effect > length) {
+    open_lease_ends.erase(open_lease_ends.begin(),
+                          open_lease_ends.lower_bound(now));
+    lease.open_end = LatestEnd(now, effect);
+    open_lease_ends.insert(*lease.open_end);
+  } else {
+    CountLease(now, length);
+  }
+  return lease;
+}
+
+void Worker::CloseLease(const CallLease& lease, Duration left, TimePoint now) {
+  if (!lease.open_end)
+    return;
+  if (const auto it = open_lease_ends.find(*lease.open_end);
+      it != open_lease_ends.end())
+    open_lease_ends.erase(it);
+  CountLease(now, std::clamp(left, Duration(0), lease_limits.longest));
 }
 
 void Worker::CountLease(TimePoint now, Duration length) {
-  const auto longest = static_cast<int64_t>(
-      std::ceil(static_cast<double>(length.count()) / kSlowestClock));
-  leases_end = std::max(leases_end, now + Duration(longest) + kLeaseMargin);
+  counted_leases_end = std::max(counted_leases_end, LatestEnd(now, length));
 }
 
 void Worker::ObserveClock(int64_t clock, TimePoint now) {
@@ -105,14 +129,14 @@
   settled = true;
   former_calls = 0;
   // Until now, calls for a former process may have prolonged its leases.
-  CountLease(now, kLongestLease);
+  CountLease(now, lease_limits.longest);
   return true;
 }
 
 void Worker::RecordStray(const TaskId& task, TimePoint now) {
   strays.insert(task);
   // The call that started it was not counted for this process.
-  CountLease(now, kLongestLease);
+  CountLease(now, lease_limits.longest);
 }
 
 void Worker::RecordAnswer(TimePoint now) {
@@ -125,8 +149,8 @@
   open_starts[task] = now;
 }
 
-TimePoint Worker::OpenStartEnd(TimePoint sent_at) {
-  return sent_at + kLatestCall + kLongestLease;
+TimePoint Worker::OpenStartEnd(TimePoint sent_at) const {
+  return sent_at + kLatestCall + lease_limits.longest;
 }
 
 void Worker::ForgetOldStarts(TimePoint now) {
@@ -145,8 +169,8 @@
 
 TimePoint Worker::StraysEnd() const {
   const bool may_be_prolonged = restarted_at != TimePoint() && !settled;
-  return may_be_prolonged ? std::max(leases_end, OpenStartEnd(restarted_at))
-                          : leases_end;
+  return may_be_prolonged ? std::max(LeasesEnd(), OpenStartEnd(restarted_at))
+                          : LeasesEnd();
 }
 
 bool Worker::MayOutlastLeases(const Run& run, TimePoint now) const {
@@ -165,7 +189,7 @@
   const bool received = run.ordered && (confirmed || run.uncertain);
   // A worker that has not been heard for as long as its leases last may have
   // crashed; one that answers and does not know the run has not.
-  const bool may_have_crashed = has_ended || now > leases_end;
+  const bool may_have_crashed = has_ended || now > LeasesEnd();
   if (!may_have_crashed || entry.draining || !received)
     return {};
   const bool at_start = confirmed && !HasSurvivedStart(run);
@@ -182,7 +206,7 @@
        << " on_clock_of=" << last_grant.incarnation_start_wall_ms
        << " incarnation=" << entry.incarnation_start_wall_ms
        << " heard_ms_ago=" << (now - heard_at).count()
-       << " leases_end_in_ms=" << (leases_end - now).count()
+       << " leases_end_in_ms=" << (LeasesEnd() - now).count()
        << " unanswered_calls=" << unanswered_calls
        << " former_calls=" << former_calls;
   return text.str();
@@ -261,10 +285,9 @@
   const auto [it, added] = workers_.try_emplace(id);
   if (added) {
     it->second.entry.id = id;
+    it->second.lease_limits = lease_limits_;
     // A former leader may not know yet that it has been deposed.
-    const auto longest = static_cast<int64_t>(std::ceil(
-        static_cast<double>(kUnconfirmedLeaseLimit.count()) / kSlowestClock));
-    it->second.leases_end = now + Duration(longest) + kLeaseMargin;
+    it->second.counted_leases_end = LatestEnd(now, lease_limits_.unconfirmed());
   }
   return it->second;
 }
--- a/servers/batch/worker_registry.h
+++ b/servers/batch/worker_registry.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,23 +20,45 @@
 namespace quetzalshelf::batch {
 
 // Time that a lease granted now lasts on the worker's clock. Long enough for a
-// new leader to take over and renew it, below the platform's longest lease.
+// new leader to take over and renew it, below the longest lease of workers.
 inline constexpr Duration kLeaseLength{5'000};
 // Lease that a start order grants to an idle worker. It is renewed as soon as
 // the start is confirmed; until then it bounds how long a start without an
 // answer can be carried out.
 inline constexpr Duration kStartLease{2'000};
-// Workers shorten longer leases to this length: the platform's limit.
-inline constexpr Duration kLongestLease{6'000};
+// The longest lease of workers where the settings do not tell it.
+inline constexpr Duration kDefaultLongestLease{6'000};
 // A worker's clock runs at least at this share of the true speed.
 inline constexpr double kSlowestClock = 0.98;
-// Leases end at most this long after the store last confirmed the leader. A
-// successor therefore knows when leases have expired on workers that it cannot
-// reach. Longer than most outages of the store, so that tasks outlive them.
-inline constexpr Duration kUnconfirmedLeaseLimit{8'000};
 // Covers rounding and the travel time of orders.
 inline constexpr Duration kLeaseMargin{200};
 
+// Bounds on leases, which follow from what the platform lets workers grant.
+struct LeaseLimits {
+  // Workers shorten longer leases to this length.
+  Duration longest = kDefaultLongestLease;
+
+  // Leases end at most this long after the store last confirmed the leader. A
+  // successor therefore knows when leases have expired on workers that it
+  // cannot reach. Longer than most outages of the store, so that tasks outlive
+  // them, and long enough that starts, which may grant the longest lease, go on
+  // while a few confirmations are late.
+  Duration unconfirmed() const {
+    return std::max(kOutlivedOutage, longest + kLateConfirmation);
+  }
+
+ private:
+  static constexpr Duration kOutlivedOutage{8'000};
+  static constexpr Duration kLateConfirmation{2'000};
+};
+
+// A lease that a call grants to a worker.
+struct CallLease {
+  int64_t end_clock_ms = 0;  // On the worker's estimated clock.
+  // Its entry in the worker's open leases; nullopt if it has none.
+  std::optional<TimePoint> open_end;
+};
+
 // The last lease that was granted to a worker, for logs.
 struct LeaseGrant {
   const char* order = "none";
@@ -66,8 +89,13 @@
   bool has_clock = false;
   int64_t clock_ms = 0;  // The worker's clock at `clock_at`.
   TimePoint clock_at;
-  // All leases granted so far have expired on the worker by then.
-  TimePoint leases_end;
+  LeaseLimits lease_limits;
+  // By then all leases have expired, but for the open ones.
+  TimePoint counted_leases_end;
+  // Ends of leases that calls without an answer grant. A process that has
+  // restarted unnoticed may take each of them for the longest lease; the answer
+  // to the call shows what it is.
+  std::multiset<TimePoint> open_lease_ends;
   LeaseGrant last_grant;
   // Starts and syncs without an answer, which may still be carried out: those
   // sent to the present process, and to former ones.
@@ -99,8 +127,8 @@
   TimePoint full_until;  // It had less capacity than known here.
 
   int runs = 0;  // With an order sent; recounted at each tick.
-  // The answer to some start order has not come; recounted at each tick.
-  bool has_unanswered_start = false;
+  // Start orders of which the answer has not come; recounted at each tick.
+  int unanswered_starts = 0;
   // Tasks with a run there, as of the last tick.
   std::vector<TaskId> assigned;
   // Tasks of which it last listed a run that is not assigned to it. They start
@@ -119,15 +147,25 @@
   bool has_suspect_run = false;
 
   int64_t EstimateClock(TimePoint now) const;
-  // The end of a lease granted now, on the worker's clock; extends
-  // `leases_end` accordingly. `order` names the call that carries it.
-  int64_t GrantLease(TimePoint now, Duration length, const char* order);
+  // A lease granted now, which counts from now on. `order` names the call that
+  // carries it.
+  CallLease GrantLease(TimePoint now, Duration length, const char* order);
+  // The call that granted the lease was answered, or never sent, and no more
+  // than `left` of the lease is left on the worker's clock.
+  void CloseLease(const CallLease& lease, Duration left, TimePoint now);
+  // By then all leases granted so far have expired on the worker.
+  TimePoint LeasesEnd() const {
+    return open_lease_ends.empty()
+               ? counted_leases_end
+               : std::max(counted_leases_end, *open_lease_ends.rbegin());
+  }
   // How long a lease granted now can last on the worker's clock. A process that
   // has restarted unnoticed shortens a lease on its predecessor's clock to the
   // longest one. Confirmed runs ended with the predecessor, so this matters
   // only to a start without an answer.
   Duration LongestEffect(Duration length) const {
-    return has_unanswered_start ? std::max(length, kLongestLease) : length;
+    return unanswered_starts > 0 ? std::max(length, lease_limits.longest)
+                                 : length;
   }
   // Takes over the clock of an answer. One that falls back belongs to a new
   // incarnation.
@@ -144,7 +182,7 @@
   void RecordUnansweredStart(const TaskId& task, TimePoint now);
   void ForgetOldStarts(TimePoint now);
   // Until when a start that was sent then can act.
-  static TimePoint OpenStartEnd(TimePoint sent_at);
+  TimePoint OpenStartEnd(TimePoint sent_at) const;
   // Whether it may come to run an open start before it is heard again.
   bool MayRunOpenStart(TimePoint sent_at, TimePoint now) const;
   // Whether, and until when, the runs of `strays` may last.
@@ -162,7 +200,7 @@
   }
   void RecordStray(const TaskId& task, TimePoint now);
   void RecordAnswer(TimePoint now);
-  // Whether the present process may hold the run beyond `leases_end`, since a
+  // Whether the present process may hold the run beyond LeasesEnd(), since a
   // call for a former one may start or prolong it there.
   bool MayOutlastLeases(const Run& run, TimePoint now) const;
   // Whether it has answered long enough after it started the run to rule out
@@ -194,6 +232,9 @@
 
 class WorkerRegistry {
  public:
+  explicit WorkerRegistry(LeaseLimits lease_limits = {})
+      : lease_limits_(lease_limits) {}
+
   // Adds or updates a listed worker.
   Worker& Update(const WorkerEntry& entry, TimePoint now);
   // The platform no longer lists the worker. It is kept while runs may be on
@@ -210,6 +251,7 @@
   const std::map<WorkerId, Worker>& workers() const { return workers_; }
 
  private:
+  LeaseLimits lease_limits_;
   std::map<WorkerId, Worker> workers_;
 };
 
--- a/standins/fleet/model_workers.cc
+++ b/standins/fleet/model_workers.cc
@@ -16,7 +16,6 @@
 constexpr Duration kFailTime{200};
 // Tasks that fail by their own fault do so in the course of their work.
 constexpr Duration kOwnFailTime{500};
-constexpr Duration kLongestLease{6'000};
 constexpr Duration kGangWait{4'000};
 constexpr Duration kCrashDelay{10};
 // The platform's limit of one answer.
@@ -455,7 +454,7 @@
 
 void ModelWorkers::ExtendLease(ModelWorker& worker, int64_t until_ms) {
   const TimePoint until = std::min(worker.clock_start + Duration(until_ms),
-                                   clock_.Now() + kLongestLease);
+                                   clock_.Now() + longest_lease_);
   worker.lease_until = std::max(worker.lease_until, until);
   const uint64_t serial = ++worker.lease_serial;
   runner_.PostAfter(worker.lease_until - clock_.Now(),
--- a/standins/fleet/model_workers.h
+++ b/standins/fleet/model_workers.h
@@ -47,6 +47,8 @@
   // Gangs work only while all members are present, and end together. Without
   // this each task counts as independent.
   void set_gang_size(GangSize size) { gang_size_ = std::move(size); }
+  // Longer leases are shortened to this length.
+  void set_longest_lease(Duration longest) { longest_lease_ = longest; }
   // Time until the members of a gang hear of the end of another one. Those
   // that end by themselves meanwhile list an end of their own.
   void set_gang_news_delay(Duration delay) { gang_news_delay_ = delay; }
@@ -209,6 +211,7 @@
   Duration answer_time_;
   RunTime run_time_;
   GangSize gang_size_;
+  Duration longest_lease_{6'000};
   Duration gang_news_delay_{0};
   DeadlyTasks deadly_;
   FailingTasks failing_;
--- a/tests/batch/decisions_test.cc
+++ b/tests/batch/decisions_test.cc
@@ -317,11 +317,12 @@
   worker.ObserveClock(10'000, FromMillis(1'000));
   CHECK(worker.EstimateClock(FromMillis(2'000)) == 10'980);
   const int64_t until =
-      worker.GrantLease(FromMillis(2'000), Duration(5'000), "sync");
+      worker.GrantLease(FromMillis(2'000), Duration(5'000), "sync")
+          .end_clock_ms;
   CHECK(until == 15'980);
   // A clock at 0.98 of the true speed that showed 10,980 now shows the end.
   const double passes = 2'000 + static_cast<double>(until - 10'980) / 0.98;
-  CHECK(static_cast<double>(ToMillis(worker.leases_end)) >= passes);
+  CHECK(static_cast<double>(ToMillis(worker.LeasesEnd())) >= passes);
 }
 
 // Guards against noting the ends of a former life in a new one.
--- a/tests/batch/restarted_worker_test.cc
+++ b/tests/batch/restarted_worker_test.cc
@@ -18,18 +18,45 @@
 // exceeds the limit on the new one.
 constexpr Duration kFormerLife{30'000};
 
-void RestartUnnoticed(LeaderFixture& fixture, const WorkerId& worker) {
+constexpr Duration kLongLease{10'000};
+
+// One leader that has synced all workers, which grant leases of up to 10 s.
+struct LongLeaseFixture : BatchFixture {
+  LongLeaseFixture() : BatchFixture(1, 2) {
+    workers.set_longest_lease(kLongLease);
+    dispatcher_options.lease_limits.longest = kLongLease;
+    run_time = Duration(60'000);
+    AddNode("n1");
+    Run(kFormerLife);
+  }
+};
+
+void RestartUnnoticed(BatchFixture& fixture, const WorkerId& worker) {
   fixture.workers.Restart(worker, 2);
 }
 
 // Runs until a worker holds the first task of the job.
-WorkerId AwaitHolder(LeaderFixture& fixture, const char* job) {
+WorkerId AwaitHolder(BatchFixture& fixture, const char* job) {
   for (int n = 0; n < 100 && !fixture.workers.IsRunning(Task(job, 0)); ++n)
     fixture.Run(Duration(10));
   REQUIRE(fixture.workers.IsRunning(Task(job, 0)));
   return fixture.workers.HolderOf(Task(job, 0));
 }
 
+// Its process was heard at 1,000 ms.
+Worker MakeHeardWorker(Duration longest_lease) {
+  Worker worker;
+  worker.lease_limits.longest = longest_lease;
+  worker.ObserveClock(100'000, FromMillis(1'000));
+  return worker;
+}
+
+// When a lease has ended on a clock at 0.98 of the true speed.
+TimePoint EndOnSlowClock(TimePoint from, Duration length) {
+  return from + Duration(static_cast<int64_t>(
+                    static_cast<double>(length.count()) / 0.98));
+}
+
 }  // namespace
 
 // Guards against a task that runs twice because its worker, restarted with a
@@ -55,6 +82,62 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against a task that runs twice on a platform whose workers grant
+// longer leases than the leader, or its successor, counts with.
+TEST_CASE("Leases of 10 s on restarted workers let no task run twice") {
+  LongLeaseFixture fixture;
+  bool answered = false;
+  bool killed = false;
+  bool resigned = false;
+  SUBCASE("cut off after the answer to the start") {
+    answered = true;
+  }
+  SUBCASE("cut off before the answer to the start") {}
+  SUBCASE("the leader is killed") {
+    killed = true;
+  }
+  SUBCASE("the leader is killed after the answer to the start") {
+    answered = killed = true;
+  }
+  SUBCASE("the leader resigns") {
+    resigned = true;
+  }
+  for (const WorkerEntry& it : fixture.listed) {
+    RestartUnnoticed(fixture, it.id);
+    fixture.workers.faults(it.id).late_orders = answered ? 0 : 1;
+    fixture.workers.faults(it.id).lateness = Duration(2);
+  }
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  const WorkerId holder = AwaitHolder(fixture, kJob);
+  if (resigned)
+    fixture.Resign(0);
+  fixture.Run(Duration(20));
+  fixture.workers.faults(holder).silent = true;
+  if (killed)
+    fixture.Kill(0);
+  // The platform lists the present processes by now.
+  for (WorkerEntry& it : fixture.listed)
+    it.incarnation_start_wall_ms = 2;
+  if (killed || resigned)
+    fixture.AddNode("n2");
+  fixture.Run(Duration(25'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
+  CHECK(fixture.workers.violations().empty());
+}
+
+// Guards against lost runs that wait for the longest lease although the answer
+// to their start has shown that their worker granted a shorter one.
+TEST_CASE("A confirmed run is given up when its own lease has ended") {
+  LongLeaseFixture fixture;
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  const WorkerId holder = AwaitHolder(fixture, kJob);
+  fixture.Run(Duration(300));
+  fixture.workers.faults(holder).silent = true;
+  fixture.Run(kLeaseLength + Duration(1'000));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
+  CHECK(fixture.workers.violations().empty());
+}
+
 // Guards against a hand-over that prolongs a lease beyond what the successor
 // counts with, on a worker whose restarted process may hold a run.
 TEST_CASE("A hand-over renews no unanswered start beyond its limit") {
@@ -81,12 +164,12 @@
   ManualTaskRunner runner;
   Worker worker;
   worker.ObserveClock(100'000, runner.Now());
-  worker.has_unanswered_start = true;
-  Duration left = kLongestLease - Duration(1);
+  worker.unanswered_starts = 1;
+  Duration left = kDefaultLongestLease - Duration(1);
   bool renews = false;
   SUBCASE("less than the longest lease is left") {}
   SUBCASE("the longest lease is left") {
-    left = kLongestLease;
+    left = kDefaultLongestLease;
     renews = true;
   }
   LeaseHandover handover(port, runner, Epoch(2), {worker}, runner.Now() + left);
@@ -162,17 +245,40 @@
 // Guards against a bound on a lease that presumes the clock of a process that
 // may have ended.
 TEST_CASE("A lease counts as the longest one while a start has no answer") {
-  Worker worker;
-  worker.ObserveClock(100'000, FromMillis(1'000));
-  CHECK(worker.LongestEffect(kStartLease) == kStartLease);
-  worker.has_unanswered_start = true;
-  CHECK(worker.LongestEffect(kStartLease) == kLongestLease);
-  CHECK(worker.LongestEffect(kLeaseLength) == kLongestLease);
-  worker.GrantLease(FromMillis(2'000), kStartLease, "start");
-  // A new clock at 0.98 of the true speed shows the longest lease's end.
-  const double passes =
-      2'000 + static_cast<double>(kLongestLease.count()) / 0.98;
-  CHECK(static_cast<double>(ToMillis(worker.leases_end)) >= passes);
+  for (const Duration longest : {kDefaultLongestLease, kLongLease}) {
+    CAPTURE(longest.count());
+    Worker worker = MakeHeardWorker(longest);
+    CHECK(worker.LongestEffect(kStartLease) == kStartLease);
+    worker.unanswered_starts = 1;
+    CHECK(worker.LongestEffect(kStartLease) == longest);
+    CHECK(worker.LongestEffect(kLeaseLength) == longest);
+    worker.GrantLease(FromMillis(2'000), kStartLease, "start");
+    CHECK(worker.LeasesEnd() >= EndOnSlowClock(FromMillis(2'000), longest));
+  }
+}
+
+// Guards against an answer that is taken for less, or for more, than it shows
+// of the lease that its call granted.
+TEST_CASE("An answer shows what is left of the lease of its call") {
+  const TimePoint answered = FromMillis(2'100);
+  Worker worker = MakeHeardWorker(kLongLease);
+  worker.unanswered_starts = 1;
+  const CallLease lease =
+      worker.GrantLease(FromMillis(2'000), kStartLease, "start");
+  SUBCASE("on the clock of another process") {
+    worker.CloseLease(lease, Duration(lease.end_clock_ms - 50), answered);
+    CHECK(worker.LeasesEnd() >= EndOnSlowClock(answered, kLongLease));
+  }
+  SUBCASE("on the clock that was known") {
+    worker.CloseLease(lease, Duration(1'880), answered);
+    CHECK(worker.LeasesEnd() >= EndOnSlowClock(answered, Duration(1'880)));
+    CHECK(worker.LeasesEnd() < answered + kStartLease + Duration(500));
+  }
+  SUBCASE("while another call has no answer") {
+    worker.GrantLease(FromMillis(2'050), kStartLease, "start");
+    worker.CloseLease(lease, Duration(1'880), answered);
+    CHECK(worker.LeasesEnd() >= EndOnSlowClock(FromMillis(2'050), kLongLease));
+  }
 }
 
 }  // namespace quetzalshelf::batch
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -170,6 +170,7 @@
   REQUIRE(good.ok());
   CHECK(good->stop_grace == Duration(6'000));
   CHECK(good->store.port == 90);
+  CHECK(good->longest_lease == Duration(6'000));
   const auto bad = ParseEntrySettings(
       "node:\n  id: \"n1\"\nlisten:\n  callers: \"here\"\n", "settings.yaml");
   REQUIRE_FALSE(bad.ok());
@@ -179,6 +180,32 @@
   CHECK(text.find("store") != std::string::npos);
 }
 
+// Guards against a node that grants leases which its platform never lets last.
+TEST_CASE("The longest lease is a setting with a lower limit") {
+  const auto parse = [](const std::string& lease) {
+    return ParseEntrySettings(
+        "node:\n  id: \"n1\"\n  failure_domain: \"cartago\"\n"
+        "listen:\n  callers: \"10.0.0.1:80\"\n  readiness: \"10.0.0.1:81\"\n"
+        "  metrics_port: 7000\nstore:\n  address: \"10.0.0.2:90\"\n"
+        "limits:\n  max_descriptors: 4100\n  cpu_share: 0.25\n"
+        "  stop_grace_s: 6\n  revoke_ms: 5000\n  longest_lease_ms: " +
+            lease + "\n",
+        "settings.yaml");
+  };
+  const auto set = parse("10000");
+  REQUIRE(set.ok());
+  CHECK(set->longest_lease == Duration(10'000));
+  // The template is filled in with nothing where the platform has no bound.
+  const auto unset = parse("");
+  REQUIRE(unset.ok());
+  CHECK(unset->longest_lease == Duration(6'000));
+  const auto too_short = parse("4999");
+  REQUIRE_FALSE(too_short.ok());
+  CHECK(std::string(too_short.status().message())
+            .find("settings.yaml:15: limits/longest_lease_ms") !=
+        std::string::npos);
+}
+
 TEST_CASE("Addresses need a host and a port") {
   Endpoint endpoint;
   CHECK(ParseEndpoint("10.0.0.1:80", endpoint));
