Send no start while the view of the site is old

Cause: asks MayStartOn as a start is sent, but the answer is only as true as the view that it reads. The view's age was asked for by the scheduling pass alone: a start whose row was stored late, or one that a new leader had taken over before it had read the evacuations, went out at any age.

Change: each start, first or repeated, of a former leader or of a gang, goes through TryStart, which asks MayStart (the age of the view) and MayStartOn. A single task that was never sent waits for a current view; gangs time out as before, so that their members start together.

--- a/servers/batch/dispatcher.h
+++ b/servers/batch/dispatcher.h
@@ -127,6 +127,8 @@
   bool HasLoadedJobs() const;
   // Schedules and sends the orders, syncs and writes that are due.
   void Pump(TimePoint now);
+  // Whether this node leads with a view of the site, the workers and the jobs
+  // that is recent enough to start tasks.
   bool MayStart(TimePoint now) const;
   // Logs when starts become possible, and what they lack meanwhile.
   void LogStartability(TimePoint now);
@@ -148,6 +150,9 @@
   // dispatcher_orders.cc: start and stop orders to workers.
   void TickRuns(TimePoint now);
   void TickRun(Job& job, const TaskId& id, TaskProgress& task, TimePoint now);
+  // Sends the start order of a stored run, first or again, if the run may start
+  // now. Presumes that the view of the site is current.
+  void TryStart(Job& job, const TaskId& id, Run& run, TimePoint now);
   // Whether the worker may still be given the task: since it was chosen, or
   // since a former leader chose it, it may have changed.
   bool MayStartOn(const Job& job, const TaskId& id, const Worker& worker) const;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -103,19 +103,15 @@
       worker.entry.port == 0)
     return;
   if (run.phase == RunPhase::kStarting && !retired_) {
-    if (now - run.phase_since <= kStartTimeout &&
-        !MayStartOn(job, id, worker)) {
-      // One that may have been sent ends by its timeout.
-      if (!run.ordered && !run.uncertain)
-        MarkRunLost(job, id, run.attempt, "its worker may not run it any more");
-      return;
-    }
+    // An old view of the site does not tell whether the worker may still be
+    // given the task. A single task that was never sent waits for a current
+    // one; members of a gang time out together.
+    const bool can_judge = MayStart(now);
+    if (!can_judge && !run.ordered && !job.spec(id.step).gang)
+      run.phase_since = now;
     if (now - run.phase_since <= kStartTimeout) {
-      // A successor must be able to tell when the run has expired, even if a
-      // restarted process of the worker carries the order out.
-      if (worker.settled && MaxLease(now) >= worker.lease_limits.longest &&
-          !IsHeldAsStray(id, now))
-        SendStart(job, id, run, now);
+      if (can_judge)
+        TryStart(job, id, run, now);
       return;
     }
     LOG(WARNING) << "task " << ToString(id) << " attempt=" << run.attempt
@@ -132,6 +128,21 @@
     SendStop(id, run, now);
 }
 
+void Dispatcher::TryStart(Job& job, const TaskId& id, Run& run, TimePoint now) {
+  const Worker& worker = registry_.FindOrAdd(run.worker, now);
+  if (!MayStartOn(job, id, worker)) {
+    // One that may have been sent ends by its timeout.
+    if (!run.ordered && !run.uncertain)
+      MarkRunLost(job, id, run.attempt, "its worker may not run it any more");
+    return;
+  }
+  // A successor must be able to tell when the run has expired, even if a
+  // restarted process of the worker carries the order out.
+  if (worker.settled && MaxLease(now) >= worker.lease_limits.longest &&
+      !IsHeldAsStray(id, now))
+    SendStart(job, id, run, now);
+}
+
 bool Dispatcher::MayStartOn(const Job& job,
                             const TaskId& id,
                             const Worker& worker) const {
--- a/tests/batch/batch_fixture.cc
+++ b/tests/batch/batch_fixture.cc
@@ -160,7 +160,7 @@
         it.incarnation_start_wall_ms =
             workers.entry(it.id).incarnation_start_wall_ms;
     }
-    if (!store.faults().refuse)
+    if (follows_site && !store.faults().refuse)
       site.Confirm(runner.Now());
     for (Node& it : nodes) {
       if (it.lease && !it.paused)
--- a/tests/batch/batch_fixture.h
+++ b/tests/batch/batch_fixture.h
@@ -81,6 +81,7 @@
   MetricsRegistry metrics;
   JobFrontend frontend;
   std::vector<Node> nodes;
+  bool follows_site = true;  // The nodes' view of the site stays current.
   Duration run_time{2'500};
   std::map<JobId, Duration> run_times;  // Of single jobs, before `run_time`.
   std::string key = "key-plaza";        // Of calls from now on.
--- a/tests/batch/recovered_runs_test.cc
+++ b/tests/batch/recovered_runs_test.cc
@@ -80,6 +80,42 @@
   CHECK(fixture.workers.violations().empty());
 }
 
+// Guards against starts in a failure domain that is out of service, by a leader
+// that cannot know it yet: its view was current when the start was chosen, or
+// it has taken the start over before its view is.
+TEST_CASE("A leader with an old view of the site sends no recorded start") {
+  LeaderFixture fixture(1, 2);
+  bool new_leader = false;
+  SUBCASE("its own start, stored late") {
+    fixture.store.set_answer_time(Duration(1'400));
+  }
+  SUBCASE("a start of a former leader") {
+    new_leader = true;
+    for (const WorkerEntry& it : fixture.listed)
+      fixture.workers.faults(it.id).silent = true;
+  }
+  fixture.Submit(kJob, MakeJob(2, 8, false), "/holds/");
+  fixture.follows_site = false;
+  if (new_leader) {
+    fixture.Run(Duration(200));
+    fixture.Kill(0);
+    fixture.Run(kMaxViewAge);
+    fixture.AddNode("n2");
+    for (const WorkerEntry& it : fixture.listed)
+      fixture.workers.faults(it.id).silent = false;
+  }
+  fixture.Run(Duration(6'000));
+  CHECK(fixture.workers.total_starts() == 0);
+  fixture.store.set_answer_time(Duration(2));
+  fixture.site.SetEvacuated(DomainId("cartago"), true);
+  fixture.follows_site = true;
+  fixture.Run(kTakeover);
+  CHECK(fixture.workers.total_starts() == 0);
+  fixture.site.SetEvacuated(DomainId("cartago"), false);
+  CHECK(fixture.RunUntilFinal(kJob, Duration(20'000)) == JobPhase::kComplete);
+  CHECK(fixture.workers.violations().empty());
+}
+
 // Guards against a cancelled job's task that runs on forever because the stop
 // orders of the leader that cancelled it were lost with that leader.
 TEST_CASE("A new leader stops the tasks of a cancelled job") {
