Keep the process that holds a run in the row of its job

Cause: a crash is known by a change of the worker's process, and only a leader that had heard the former process could see the change. The row held the worker of a run, not its process, so a successor took the loss for one without a cause.

Change: the row has "processes", the process of each worker with runs of the job. A loss is judged by the process that was given the run, or has listed it, also where the present leader knows no other. A recovered run is weak evidence, since it may have started long ago. Rows of the former form are read as before, and former versions ignore the field. Cost: 27 bytes a worker with a 10-byte id; nothing more is written than the row that a start needs anyway. The largest job (1,300 tasks running on as many workers) would take 95,164 bytes instead of a row: then only the processes under suspect tasks are kept, with a warning.

--- a/core/platform/versioned_store.h
+++ b/core/platform/versioned_store.h
@@ -5,6 +5,7 @@
 #define CORE_PLATFORM_VERSIONED_STORE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -30,6 +31,9 @@
 
 using StoreTime = StoreClockTag::time_point;
 
+// Largest value of a row, in bytes.
+inline constexpr size_t kMaxRowBytes = 65'536;
+
 // Names one row. Rows of one partition can be changed in one transaction.
 struct StoreKey {
   std::string table;
--- a/servers/batch/dispatcher_orders.cc
+++ b/servers/batch/dispatcher_orders.cc
@@ -174,6 +174,9 @@
   order.lease_until_ms = lease.end_clock_ms;
   if (!std::exchange(run.ordered, true))
     run.ordered_at = now;
+  // A process that may have started it before keeps it.
+  if (!run.uncertain)
+    run.incarnation_start_wall_ms = worker.entry.incarnation_start_wall_ms;
   ++worker.runs;
   run.in_flight = true;
   port_.Start(
@@ -310,6 +313,7 @@
   Worker& worker = registry_.FindOrAdd(run.worker, now);
   if (run.IsUnanswered() && worker.unanswered_starts > 0)
     --worker.unanswered_starts;
+  run.incarnation_start_wall_ms = worker.entry.incarnation_start_wall_ms;
   run.phase = RunPhase::kRunning;
   run.phase_since = now;
   run.confirmed_event = ++last_event_;
--- a/servers/batch/dispatcher_sync.cc
+++ b/servers/batch/dispatcher_sync.cc
@@ -368,6 +368,7 @@
     }
     Job& job = *FindJob(it.task.job);
     job.set_begun();
+    run->incarnation_start_wall_ms = worker.entry.incarnation_start_wall_ms;
     // A late start may have started it once more on the present process.
     const bool began_again = run->phase == RunPhase::kRunning &&
                              run->started_at < worker.restarted_at;
--- a/servers/batch/job_state.cc
+++ b/servers/batch/job_state.cc
@@ -1,6 +1,7 @@
 #include "servers/batch/job_state.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -36,6 +37,14 @@
   return 0;
 }
 
+// Points of a task if all its unclear losses were crashes.
+int CrashPointsIfAllCrashed(const TaskProgress& task) {
+  int points = task.crash_points;
+  for (const UnclearLoss& it : task.unclear_losses)
+    points += CrashPoints(it.evidence);
+  return points;
+}
+
 CrashEvidence EvidenceOf(int crash_points) {
   return crash_points >= kStrongCrashPoints ? CrashEvidence::kStrong
                                             : CrashEvidence::kWeak;
@@ -288,10 +297,7 @@
 bool Job::AwaitsUnclearLosses(const TaskProgress& task) {
   if (task.unclear_losses.empty())
     return false;
-  int points = task.crash_points;
-  for (const UnclearLoss& it : task.unclear_losses)
-    points += CrashPoints(it.evidence);
-  return points >= kFatalCrashPoints;
+  return CrashPointsIfAllCrashed(task) >= kFatalCrashPoints;
 }
 
 std::optional<CrashEvidence> Job::SettleLosses(
@@ -476,7 +482,48 @@
                {"tasks", std::move(tasks)}};
   if (json gangs = EncodeFailedAttempts(); !over && !gangs.empty())
     body["failed_attempts"] = std::move(gangs);
-  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+  const auto dump = [&body] {
+    return body.dump(-1, ' ', false, json::error_handler_t::replace);
+  };
+  if (!HasAnyRun())
+    return dump();
+  body["processes"] = EncodeProcesses(0);
+  std::string value = dump();
+  if (value.size() <= kMaxRowBytes)
+    return value;
+  // A crash under one of the other tasks does not count if the leader changes
+  // before it has noted it; a row that is too large would stop the whole job.
+  LOG(WARNING) << "state of job " << record_.id << " takes " << value.size()
+               << " bytes, more than a row; it leaves out the processes of "
+               << "workers without suspect tasks";
+  body["processes"] = EncodeProcesses(1);
+  return dump();
+}
+
+json Job::EncodeProcesses(int least_crash_points) const {
+  std::map<std::string, int64_t> processes;
+  ForEachTask([&](const TaskId&, const TaskProgress& task) {
+    if (!task.run || task.run->incarnation_start_wall_ms == 0 ||
+        CrashPointsIfAllCrashed(task) < least_crash_points)
+      return;
+    int64_t& process = processes[task.run->worker.value()];
+    process = std::max(process, task.run->incarnation_start_wall_ms);
+  });
+  return json(processes);
+}
+
+void Job::RestoreProcesses(const json& processes) {
+  for (OccurrenceProgress& occurrence : occurrences_) {
+    for (StepProgress& step : occurrence.steps) {
+      for (TaskProgress& task : step.tasks) {
+        if (!task.run)
+          continue;
+        const auto it = processes.find(task.run->worker.value());
+        if (it != processes.end() && it->is_number())
+          task.run->incarnation_start_wall_ms = it->get<int64_t>();
+      }
+    }
+  }
 }
 
 json Job::EncodeFailedAttempts() const {
@@ -551,6 +598,9 @@
   const auto failed_attempts = body.find("failed_attempts");
   if (failed_attempts != body.end() && !RestoreFailedAttempts(*failed_attempts))
     return false;
+  if (const auto processes = body.find("processes");
+      processes != body.end() && processes->is_object())
+    RestoreProcesses(*processes);
   KeepFinalPhase();
   return true;
 }
--- a/servers/batch/job_state.h
+++ b/servers/batch/job_state.h
@@ -35,6 +35,9 @@
 struct Run {
   WorkerId worker;
   Attempt attempt;
+  // Start of the worker's process that was given the run, or that has listed
+  // it; 0 if unknown.
+  int64_t incarnation_start_wall_ms = 0;
   RunPhase phase = RunPhase::kRecording;
   TimePoint phase_since;
   uint64_t revision = 0;   // Revision of the job that first stores this run.
@@ -247,6 +250,10 @@
   // nullopt while the job goes on.
   std::optional<JobPhase> FindFinalPhase() const;
   bool HasFailed() const;
+  // The process of each worker that runs tasks of the job with at least so many
+  // crash points, if all their unclear losses were crashes.
+  nlohmann::json EncodeProcesses(int least_crash_points) const;
+  void RestoreProcesses(const nlohmann::json& processes);
   // The last attempt that counted as failed, of each gang that has one.
   nlohmann::json EncodeFailedAttempts() const;
   bool RestoreFailedAttempts(const nlohmann::json& rows);
--- a/servers/batch/leader_lease.cc
+++ b/servers/batch/leader_lease.cc
@@ -17,8 +17,6 @@
 
 constexpr Duration kCommitTimeout{800};
 constexpr int64_t kMaxEpoch = std::numeric_limits<int64_t>::max();
-// The platform's limit of a row.
-constexpr size_t kMaxRowBytes = 65'536;
 // Pause after a failed heartbeat or a lost race.
 constexpr Duration kRetry{150};
 // Weight of the newest gap between heartbeats in their mean, as a divisor.
--- a/servers/batch/planning/scheduling_pass.cc
+++ b/servers/batch/planning/scheduling_pass.cc
@@ -664,6 +664,8 @@
     task.attempt = unit.spec->gang ? gang_attempt : task.attempt.Next();
     task.run = Run{.worker = candidate.worker->id,
                    .attempt = task.attempt,
+                   .incarnation_start_wall_ms =
+                       candidate.worker->incarnation_start_wall_ms,
                    .phase = RunPhase::kRecording,
                    .phase_since = now_,
                    .revision = job.revision + 1};
@@ -715,12 +717,13 @@
     placement = PlaceTasks(candidates, demand);
   if (placement.empty())
     return false;
-  const WorkerId& worker = candidates[placement.front()].worker->id;
+  const WorkerEntry& worker = *candidates[placement.front()].worker;
   LOG(INFO) << "task " << ToString(id) << " attempt=" << task.attempt
-            << " moves from worker " << task.run->worker << " to " << worker
+            << " moves from worker " << task.run->worker << " to " << worker.id
             << ": the first refused it, the gang keeps its attempt";
-  task.run = Run{.worker = worker,
+  task.run = Run{.worker = worker.id,
                  .attempt = task.attempt,
+                 .incarnation_start_wall_ms = worker.incarnation_start_wall_ms,
                  .phase = RunPhase::kRecording,
                  .phase_since = now_,
                  .revision = job.revision + 1};
--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -187,15 +187,23 @@
 LostRun Worker::JudgeLoss(const Run& run, TimePoint now) const {
   const bool confirmed = run.started_at != TimePoint();
   const bool received = run.ordered && (confirmed || run.uncertain);
+  // Also known where a former leader gave it the run.
+  const bool holder_has_ended =
+      has_ended ||
+      (run.incarnation_start_wall_ms != 0 &&
+       entry.incarnation_start_wall_ms > run.incarnation_start_wall_ms);
   // A worker that has not been heard for as long as its leases last may have
   // crashed; one that answers and does not know the run has not.
-  const bool may_have_crashed = has_ended || now > LeasesEnd();
+  const bool may_have_crashed = holder_has_ended || now > LeasesEnd();
   if (!may_have_crashed || entry.draining || !received)
     return {};
-  const bool at_start = confirmed && !HasSurvivedStart(run);
+  // A recovered run may have started long ago.
+  const bool at_start =
+      confirmed && run.phase != RunPhase::kRecovered && !HasSurvivedStart(run);
   return {.evidence = at_start ? CrashEvidence::kStrong : CrashEvidence::kWeak,
-          .has_crashed = has_ended,
-          .incarnation_start_wall_ms = entry.incarnation_start_wall_ms};
+          .has_crashed = holder_has_ended,
+          .incarnation_start_wall_ms = std::max(
+              run.incarnation_start_wall_ms, entry.incarnation_start_wall_ms)};
 }
 
 std::string Worker::DescribeLease(TimePoint now) const {
--- a/standins/fleet/memory_versioned_store.cc
+++ b/standins/fleet/memory_versioned_store.cc
@@ -7,10 +7,9 @@
 
 namespace {
 
-// The platform's limits of one answer and of one row.
+// The platform's limits of one answer.
 constexpr size_t kMaxRowsRead = 500;
 constexpr size_t kMaxBytesRead = 1'000'000;
-constexpr size_t kMaxRowBytes = 65'536;
 constexpr Duration kClockOrigin{7'000'000};
 
 bool IsTooLarge(const StoreTransaction& transaction) {
--- a/tests/batch/crash_evidence_test.cc
+++ b/tests/batch/crash_evidence_test.cc
@@ -124,6 +124,136 @@
   CHECK(fixture.workers.starts(Task(kJob, 0)) <= 5);
 }
 
+// Guards against a task that takes down more workers because the leader that
+// knew of a crash was gone before it had noted it.
+TEST_CASE("A crash counts although the leader changes before it is noted") {
+  Duration before_change{2'400};
+  SUBCASE("while the worker is down") {}
+  SUBCASE("once the worker is back") {
+    before_change = Duration(3'020);
+  }
+  for (const int changes : {1, 2, 3, 100}) {
+    CAPTURE(changes);
+    LeaderFixture fixture(2, 3);
+    fixture.run_time = Duration(600'000);
+    MakeDeadly(fixture, ModelWorkers::CrashStyle::kRefusing, Duration(3'000));
+    fixture.Submit(kJob, MakeJob(1, 8, false));
+    JobPhase phase = JobPhase::kQueued;
+    int crashes = 0;
+    for (int n = 0; n < 1'500 && phase != JobPhase::kFailed; ++n) {
+      fixture.Run(Duration(20));
+      if (fixture.workers.crashes() > crashes && crashes < changes) {
+        crashes = fixture.workers.crashes();
+        fixture.Run(before_change);
+        fixture.Kill(fixture.nodes.size() - 1);
+        fixture.AddNode("n" + std::to_string(crashes + 1));
+      }
+      phase = fixture.State(kJob).phase;
+    }
+    CHECK(phase == JobPhase::kFailed);
+    // At most two more starts after three crashes.
+    CHECK(fixture.workers.starts(Task(kJob, 0)) <= 5);
+  }
+}
+
+// Guards against sound tasks that are blamed for the end of a process which had
+// held them for an unknown time, or for one that goes on.
+TEST_CASE("A recovered run says little of its worker's crash") {
+  const TimePoint now = FromMillis(10'000);
+  Worker worker;
+  worker.counted_leases_end = FromMillis(60'000);
+  Run run{.worker = WorkerId("w1"),
+          .attempt = Attempt(1),
+          .incarnation_start_wall_ms = 70,
+          .phase = RunPhase::kRecovered,
+          .ordered = true,
+          .ordered_at = now,
+          .started_at = now};
+  const auto judge = [&](int64_t present) {
+    worker.entry.incarnation_start_wall_ms = present;
+    return worker.JudgeLoss(run, now);
+  };
+  CHECK(judge(80).has_crashed);
+  CHECK(judge(80).evidence == CrashEvidence::kWeak);
+  CHECK(judge(70).evidence == CrashEvidence::kNone);
+  // The platform may still list a process from before.
+  CHECK(judge(60).evidence == CrashEvidence::kNone);
+  run.incarnation_start_wall_ms = 0;
+  CHECK(judge(80).evidence == CrashEvidence::kNone);
+  // Out of reach: settled against the process that held the run.
+  run.incarnation_start_wall_ms = 70;
+  worker.counted_leases_end = FromMillis(9'000);
+  for (const int64_t present : {0, 60, 70}) {
+    CHECK_FALSE(judge(present).has_crashed);
+    CHECK(judge(present).incarnation_start_wall_ms == 70);
+  }
+}
+
+// Guards against a successor that cannot tell which process held a run.
+TEST_CASE("The row of a job keeps the processes of its runs") {
+  JobRecord record;
+  record.id = JobId(kJob);
+  record.attempts = 3;
+  record.spec = MakeJob(3, 1, false);
+  const TimePoint now = FromMillis(10'000);
+  Job job(record, now, Duration(0));
+  const int64_t processes[] = {1'796'544'315'510, 0, 1'796'544'315'710};
+  for (int n = 0; n < 3; ++n) {
+    TaskProgress& task = *job.Find(Task(kJob, n));
+    task.attempt = Attempt(1);
+    task.run = Run{.worker = WorkerId("w" + std::to_string(n)),
+                   .attempt = task.attempt,
+                   .incarnation_start_wall_ms = processes[n]};
+  }
+  Job restored(record, now, Duration(0));
+  REQUIRE(restored.RestoreState(job.EncodeState(), now));
+  for (int n = 0; n < 3; ++n) {
+    REQUIRE(restored.Find(Task(kJob, n))->run);
+    CHECK(restored.Find(Task(kJob, n))->run->incarnation_start_wall_ms ==
+          processes[n]);
+  }
+  // As a former version has written it.
+  Job former(record, now, Duration(0));
+  REQUIRE(former.RestoreState(
+      R"({"workspace":"plaza","phase":"running","begun":true,)"
+      R"("tasks":[[0,0,0,0,4,1,"cp","w0"]]})",
+      now));
+  REQUIRE(former.Find(Task(kJob, 0))->run);
+  CHECK(former.Find(Task(kJob, 0))->run->incarnation_start_wall_ms == 0);
+}
+
+// Guards against a job that stands because the processes of its runs make its
+// state larger than a row.
+TEST_CASE("Processes are left out of a state that is too large with them") {
+  constexpr int kTasks = 1'300;
+  constexpr int kSuspect = 7;
+  JobRecord record;
+  record.id = JobId(kJob);
+  record.attempts = 3;
+  record.spec = MakeJob(kTasks, 1, false);
+  const TimePoint now = FromMillis(10'000);
+  Job job(record, now, Duration(0));
+  for (int n = 0; n < kTasks; ++n) {
+    TaskProgress& task = *job.Find(Task(kJob, n));
+    task.attempt = Attempt(1);
+    task.checkpoint = "00000bb87a21d9";
+    task.run = Run{.worker = WorkerId("i-b613" + std::to_string(1'000 + n)),
+                   .attempt = task.attempt,
+                   .incarnation_start_wall_ms = 1'796'544'315'510 + n};
+  }
+  job.Find(Task(kJob, kSuspect))->crash_points = 1;
+  const std::string value = job.EncodeState();
+  CHECK(value.size() <= kMaxRowBytes);
+  Job restored(record, now, Duration(0));
+  REQUIRE(restored.RestoreState(value, now));
+  for (int n = 0; n < kTasks; ++n) {
+    CAPTURE(n);
+    REQUIRE(restored.Find(Task(kJob, n))->run);
+    CHECK(restored.Find(Task(kJob, n))->run->incarnation_start_wall_ms ==
+          (n == kSuspect ? 1'796'544'315'510 + n : 0));
+  }
+}
+
 // Guards against losses that are forgotten, or counted, at a change of leader.
 TEST_CASE("The row of a job keeps its unclear losses") {
   JobRecord record;
