Give up a recovered run with its leases where its process is known

Cause: the wait is for starts that were meant for a former process. The wait was never needed there.

--- a/servers/batch/worker_registry.cc
+++ b/servers/batch/worker_registry.cc
@@ -174,6 +174,10 @@
 }
 
 bool Worker::MayOutlastLeases(const Run& run, TimePoint now) const {
+  // A process gets runs only once no call for a former one can act on it.
+  if (run.phase == RunPhase::kRecovered && run.incarnation_start_wall_ms != 0 &&
+      run.incarnation_start_wall_ms == entry.incarnation_start_wall_ms)
+    return false;
   // Runs that were confirmed before have ended with the former process, unless
   // a start of them had no answer.
   return IsRestarting(now) && (run.uncertain || run.IsUnanswered() ||
--- a/tests/batch/former_calls_test.cc
+++ b/tests/batch/former_calls_test.cc
@@ -231,6 +231,29 @@
   CHECK(fixture.workers.IsRunning(Task(kJob, 0)));
 }
 
+// Guards against a job that stands for long after a loss of power: its worker
+// is young, but the run was meant for its present process.
+TEST_CASE("A new leader waits for no former calls to the run's own process") {
+  LeaderFixture fixture(1, 1);
+  fixture.run_time = Duration(60'000);
+  const WorkerEntry other = fixture.listed.front();
+  WorkerEntry young = MakeWorker("w90", "r1-0");
+  young.incarnation_start_wall_ms = fixture.runner.WallMillis();
+  fixture.workers.Add(young);
+  fixture.listed = {young};
+  fixture.Run(Duration(1'000));
+  fixture.Submit(kJob, MakeJob(1, 8, false));
+  fixture.Run(Duration(300));
+  REQUIRE(fixture.workers.HolderOf(Task(kJob, 0)) == young.id);
+  fixture.workers.faults(young.id).silent = true;
+  fixture.listed.push_back(other);
+  fixture.Kill(0);
+  fixture.AddNode("n2");
+  fixture.Run(LeaseLimits().unconfirmed() + Duration(2'500));
+  CHECK(fixture.workers.starts(Task(kJob, 0)) == 2);
+  CHECK(fixture.workers.violations().empty());
+}
+
 // Guards against a run that is neither started nor given up, since its worker
 // has restarted between its placement and its start, and is silent.
 TEST_CASE("A run whose start was never sent is given up") {
